--- /dev/null
+++ b/src/main/java/asterpulley/Balance.java
@@ -0,0 +1,701 @@
+package asterpulley;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * Decides for one relay where each tunnel goes. The entry point is {@link #take}: it gives a handle on which the
+ * front calls what happens later; lists, probe answers and timers come in beside it, and every result leaves
+ * through the interface in Front.java. The ordinary path: the ready server with the lowest load factor takes the
+ * tunnel; seek timers with a retry count decide who is offline; all full means decline. docs/design.md has the rest.
+ */
+public final class Balance {
+    /** Unanswered seeks and failed setups in a row that mark a server offline. */
+    private static final int SILENT = 3;
+    /** A factor from which a server counts as full: past it each further load makes all its messages late. */
+    private static final double FULL = 0.97;
+    /** A factor from which shares are held: within a burst's reach of full. */
+    private static final double NEAR_FULL = 0.85;
+    /** Points of service that steady probes may cost. */
+    private static final double PROBE_SPEND = 0.01;
+    private static final double FASTEST_SEEK = 0.4;
+    private static final double SLOWEST_SEEK = 3;
+    /** Reports are refreshed and arrive late; a placement younger than this is not yet in them. */
+    private static final double REPORT_LAG = 1.0;
+    /** A crossing's fee is lost for the tunnel's whole life, as is what a factor this many times as high spoils. */
+    private static final double FEE_TO_FACTOR = 2.5;
+    /** What a group costs a server that holds none of it, in mean loads: not told, of the order of a few. */
+    private static final double GROUP_COST = 2;
+    /** Part of the cold budget that is used: the rest covers chance and a wrong guess of capacity. */
+    private static final double COLD_CARE = 0.5;
+    /** Evidence on a server's health halves in this time. */
+    private static final double FORGET = 6;
+    private static final double TIMER = 0.1;
+    private static final long SEEK = 0;
+    private static final long ASK_LIST = 1;
+
+    private final Settings set;
+    private final Front front;
+    private final Random random;
+
+    // Figures of servers under a dense index.
+    private final Map<String, Integer> index = new HashMap<>();
+    private int n;
+    private String[] ep = new String[8];
+    private int[] zone = new int[8];
+    private int[] model = new int[8];
+    private int[] cell = new int[8];
+    private boolean[] running = new boolean[8];
+    private double[] weight = new double[8];
+    private double[] startedAt = new double[8];
+    private double[] load = new double[8];
+    private double[] answeredAt = new double[8];
+    private double[] extra = new double[8];
+    private double[] own = new double[8];
+    private int[] silence = new int[8];
+    private boolean[] offline = new boolean[8];
+    private boolean[] full = new boolean[8];
+    private boolean[] seeking = new boolean[8];
+    private double[] seekAt = new double[8];
+    private double[] good = new double[8];
+    private double[] bad = new double[8];
+    private double[] evidenceAt = new double[8];
+    private double[] timedOutAt = new double[8];
+    private double[] coldCredit = new double[8];
+    private double[] coldAt = new double[8];
+    private final List<List<Tunnel>> held = new ArrayList<>();
+    private final List<Map<String, Integer>> groups = new ArrayList<>();
+
+    // What was learned.
+    private final double[] profileLoad;
+    private final double[] profileSeen;
+    private final double[] modelHeld = new double[64];
+    private final double[] modelLoad = new double[64];
+    private double ownUnits;
+    private int ownOpen;
+    private final int[] customerOpen;
+    private double setupLag = 0.02;
+    private double setupLagSpread = 0.02;
+    private double arrivals = 1;
+    private double arrivalsAt;
+    private double listBackOff = 0.5;
+    private boolean declining;
+    private boolean shared;
+    private final ArrayDeque<Placement> recent = new ArrayDeque<>();
+
+    private record Placement(int s, double at, double step) {
+    }
+
+    public Balance(Settings set, long seed, Front front) {
+        this.set = set;
+        this.front = front;
+        this.random = new Random(seed);
+        profileLoad = new double[set.profiles.size()];
+        profileSeen = new double[set.profiles.size()];
+        customerOpen = new int[Math.max(1, set.shares.size())];
+        arrivalsAt = front.now();
+        if (set.listMustBeAsked) {
+            front.watch();
+        }
+        front.wake(TIMER, SEEK);
+    }
+
+    /** A tunnel taken; the front calls on it what happens to it. */
+    public final class Tunnel {
+        public final long id;
+        private final int profile;
+        private final int customer;
+        private final String group;
+        private final double since;
+        private final double deadline;
+        private final Settings.Profile kind;
+        private int setups;
+        private int out = -1;
+        private int on = -1;
+        private boolean done;
+        private boolean mayHaveRun;
+        private int ranOn;
+        private double ranAt;
+        private double sentAt;
+        private double units;
+        private long tried;
+
+        private Tunnel(long id, int profile, int customer, String group, double budget) {
+            this.id = id;
+            this.profile = profile;
+            this.customer = Math.max(0, Math.min(customer, customerOpen.length - 1));
+            this.group = set.groupsShareWork ? group : null;
+            this.kind = set.profiles.get(profile);
+            since = front.now();
+            deadline = since + (budget > 0 ? Math.min(budget, kind.clientTimeout) : kind.clientTimeout);
+        }
+
+        /** True when nothing more can happen to it. */
+        public boolean over() {
+            return done && out < 0 && on < 0;
+        }
+
+        public void opened(int setup, double lag) {
+            if (out < 0) {
+                return;
+            }
+            int s = out;
+            out = -1;
+            done = true;
+            stand(this, s);
+            silence[s] = 0;
+            evidence(s, true);
+            setupLagSpread += 0.1 * (Math.abs(lag - setupLag) - setupLagSpread);
+            setupLag += 0.1 * (lag - setupLag);
+        }
+
+        public void load(double cores) {
+            if (on < 0) {
+                return;
+            }
+            profileSeen[profile] = Math.min(50, profileSeen[profile] + 1);
+            profileLoad[profile] += (cores - profileLoad[profile]) / profileSeen[profile];
+            double now = units(profile, cores);
+            own[on] += now - units;
+            ownUnits += now - units;
+            units = now;
+        }
+
+        public void delay(double message) {
+        }
+
+        public void ended(int setup, Outcome outcome, double lag, boolean last) {
+            if (on >= 0) {
+                int s = on;
+                fall(this);
+                if (outcome == Outcome.RESET) {
+                    // A lost server drops its tunnels before the list tells: ask it now.
+                    seekAt[s] = Math.min(seekAt[s], front.now());
+                }
+                return;
+            }
+            if (out < 0) {
+                return;
+            }
+            int s = out;
+            out = -1;
+            if (outcome == Outcome.OK) {
+                done = true;
+                evidence(s, true);
+                return;
+            }
+            if (!outcome.provesNotRun) {
+                if (!mayHaveRun) {
+                    mayHaveRun = true;
+                    ranOn = s;
+                    ranAt = sentAt;
+                }
+            }
+            failed(s, outcome);
+            unplace(s);
+            if (last) {
+                done = true;
+            }
+            if (!done) {
+                place(this);
+            }
+        }
+
+        /** The client left, or the answer is overdue. */
+        public void withdrawn() {
+            done = true;
+        }
+    }
+
+    // ---- Tunnels
+
+    public Tunnel take(long id, int profile, int customer, String group, String key, double budget, boolean midFlow) {
+        Tunnel tun = new Tunnel(id, profile, customer, group, budget);
+        double now = front.now();
+        arrivals = arrivals * Math.exp(-(now - arrivalsAt) / 10) + 0.1;
+        arrivalsAt = now;
+        place(tun);
+        return tun;
+    }
+
+    /** A tunnel that already stood on this server when this instance started. */
+    public Tunnel standing(long id, int profile, int customer, String group, String key, String ep) {
+        Tunnel tun = new Tunnel(id, profile, customer, group, 0);
+        tun.done = true;
+        Integer s = index.get(ep);
+        if (s != null) {
+            stand(tun, s);
+        }
+        return tun;
+    }
+
+    private void stand(Tunnel tun, int s) {
+        tun.on = s;
+        tun.units = units(tun.profile, profileLoad[tun.profile]);
+        own[s] += tun.units;
+        ownUnits += tun.units;
+        ownOpen++;
+        customerOpen[tun.customer]++;
+        held.get(s).add(tun);
+        if (tun.group != null) {
+            groups.get(s).merge(tun.group, 1, Integer::sum);
+        }
+    }
+
+    private void fall(Tunnel tun) {
+        int s = tun.on;
+        tun.on = -1;
+        own[s] -= tun.units;
+        ownUnits -= tun.units;
+        ownOpen--;
+        customerOpen[tun.customer]--;
+        held.get(s).remove(tun);
+        if (tun.group != null) {
+            groups.get(s).merge(tun.group, -1, (a, b) -> a + b == 0 ? null : a + b);
+        }
+        later(s, -tun.units / capacity(s));
+    }
+
+    /** Sends the next setup of this tunnel, or gives it up. */
+    private void place(Tunnel tun) {
+        double now = front.now();
+        double left = tun.deadline - now - 2 * set.tick;
+        if (tun.setups >= set.mostSetups || left <= set.tick || tun.mayHaveRun && !repeatable(tun)) {
+            giveUp(tun);
+            return;
+        }
+        int s = pick(tun);
+        if (s < 0) {
+            giveUp(tun);
+            return;
+        }
+        // Leaves room for a further setup within the goal, but never less than setups take these days.
+        double goalLeft = tun.since + tun.kind.setupGoal - now;
+        double timeout = left;
+        if (!shared && goalLeft > 0) {
+            timeout = Math.min(left, Math.max(goalLeft / 2, setupLag + 4 * setupLagSpread));
+        }
+        tun.setups++;
+        tun.out = s;
+        tun.sentAt = now;
+        tun.tried |= 1L << (s & 63);
+        later(s, step(s, tun));
+        if (cold(s, now)) {
+            coldCredit[s] -= 1;
+        }
+        front.setup(tun, ep[s], timeout);
+    }
+
+    private boolean repeatable(Tunnel tun) {
+        return tun.kind.kind != Settings.Kind.ONCE_ONLY;
+    }
+
+    /** No effect twice: what may have run goes again only to servers that know it, while they remember it. */
+    private boolean lawful(Tunnel tun, int s) {
+        if (!tun.mayHaveRun || tun.kind.kind == Settings.Kind.REPEATABLE) {
+            return true;
+        }
+        if (tun.kind.kind == Settings.Kind.ONCE_ONLY || front.now() - tun.ranAt > tun.kind.window) {
+            return false;
+        }
+        return switch (tun.kind.reach) {
+            case ALL -> true;
+            case ZONE -> zone[s] == zone[tun.ranOn];
+            case CELL -> cell[s] == cell[tun.ranOn];
+        };
+    }
+
+    /** The final answer to what is given up: at once, and a decline only where trying again is harmless. */
+    private void giveUp(Tunnel tun) {
+        tun.done = true;
+        boolean harmless = !tun.mayHaveRun || tun.kind.kind == Settings.Kind.REPEATABLE
+                || tun.kind.kind == Settings.Kind.REFERENCED && tun.kind.reach == Settings.Reach.ALL;
+        if (harmless) {
+            double back = set.retryAfterHeard ? set.longestRetryAfter * (0.5 + 0.5 * random.nextDouble()) : 0;
+            front.decline(tun, back);
+        } else {
+            front.closeWithError(tun);
+        }
+    }
+
+    /** The lawful ready server with the lowest factor after this tunnel; -1 when there is none with room. */
+    private int pick(Tunnel tun) {
+        double now = front.now();
+        long barred = tun.tried;
+        boolean anyReady = false;
+        boolean anyRoom = false;
+        for (int round = 0; round < n; round++) {
+            int best = -1;
+            double low = Double.MAX_VALUE;
+            int ties = 0;
+            for (int s = 0; s < n; s++) {
+                if (!ready(s) || !lawful(tun, s)) {
+                    continue;
+                }
+                anyReady = true;
+                if (isFull(s)) {
+                    continue;
+                }
+                anyRoom = true;
+                if ((barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
+                    continue;
+                }
+                double f = factor(s) + step(s, tun) + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
+                if (f < low - 1e-9) {
+                    low = f;
+                    best = s;
+                    ties = 1;
+                } else if (f < low + 1e-9 && random.nextInt(++ties) == 0) {
+                    best = s;
+                }
+            }
+            if (best < 0) {
+                break;
+            }
+            if (overShare(tun) && factor(best) > NEAR_FULL) {
+                return -1;
+            }
+            // A doubtful server is drawn by its chance of success, so that it is never quite forgotten.
+            double chance = chance(best);
+            if (chance > 0.8 || random.nextDouble() < chance) {
+                note(false, anyReady);
+                return best;
+            }
+            barred |= 1L << (best & 63);
+        }
+        note(anyReady && !anyRoom, anyReady);
+        return -1;
+    }
+
+    private void note(boolean allFull, boolean anyReady) {
+        if (allFull != declining) {
+            declining = allFull;
+            front.log((allFull ? "all full: declining, " : "room again, ") + n + " servers, own " + ownOpen);
+        }
+    }
+
+    private boolean overShare(Tunnel tun) {
+        if (set.excessCredit >= 1 || set.shares.isEmpty()) {
+            return false;
+        }
+        return customerOpen[tun.customer] > 1.1 * set.shares.get(tun.customer) * ownOpen + 1;
+    }
+
+    // ---- Servers
+
+    private boolean ready(int s) {
+        return running[s] && !offline[s];
+    }
+
+    private boolean isFull(int s) {
+        return full[s] || factor(s) >= FULL;
+    }
+
+    /** Probed load over capacity, and a step for each own placement that the report cannot know. */
+    private double factor(int s) {
+        return Math.max(0, load[s] + extra[s]);
+    }
+
+    private double step(int s, Tunnel tun) {
+        double units = units(tun.profile, profileLoad[tun.profile]);
+        if (tun.group != null && !groups.get(s).containsKey(tun.group)) {
+            units += GROUP_COST;
+        }
+        return units / capacity(s);
+    }
+
+    /** A load in mean loads. */
+    private double units(int profile, double cores) {
+        double sum = 0;
+        double seen = 0;
+        for (int p = 0; p < profileLoad.length; p++) {
+            sum += profileSeen[p] * profileLoad[p];
+            seen += profileSeen[p];
+        }
+        return sum <= 0 || profileSeen[profile] < 3 ? 1 : Math.max(0.05, cores * seen / sum);
+    }
+
+    /** How many mean loads fill this server now, learned from what servers hold at which load. */
+    private double capacity(int s) {
+        int m = model[s] & 63;
+        double warm;
+        if (modelLoad[m] > 0.5) {
+            warm = modelHeld[m] / modelLoad[m];
+        } else {
+            double loads = 0;
+            double sizes = 0;
+            int known = 0;
+            for (int k = 0; k < n; k++) {
+                if (ready(k) && answeredAt[k] > 0) {
+                    loads += load[k] * weight[k];
+                    sizes += weight[k];
+                    known++;
+                }
+            }
+            double all = Math.max(1, ownUnits) * set.siblings;
+            warm = loads <= 0 ? 40 : weight[s] * all / loads;
+            if (known > 0) {
+                warm = Math.max(warm, 5 * weight[s] * known / sizes);
+            }
+        }
+        return Math.max(1, warm * warmth(s, front.now()));
+    }
+
+    private double warmth(int s, double now) {
+        double age = now - startedAt[s];
+        return age >= set.coldTime ? 1 : set.coldFrom + (1 - set.coldFrom) * Math.max(0, age) / set.coldTime;
+    }
+
+    private boolean cold(int s, double now) {
+        return now - startedAt[s] < set.coldTime;
+    }
+
+    /** Not pushed over: this relay keeps to its part of what a cold server can be sent; siblings do the same. */
+    private boolean coldRoom(int s, double now) {
+        if (!cold(s, now)) {
+            return true;
+        }
+        double rate = COLD_CARE * set.fallMultiple * capacity(s) / set.coldTime / set.siblings;
+        coldCredit[s] = Math.min(Math.max(1, rate * set.fallTime), coldCredit[s] + rate * (now - coldAt[s]));
+        coldAt[s] = now;
+        return coldCredit[s] >= 1;
+    }
+
+    private void later(int s, double step) {
+        extra[s] += step;
+        recent.add(new Placement(s, front.now(), step));
+    }
+
+    private void unplace(int s) {
+        Iterator<Placement> back = recent.descendingIterator();
+        while (back.hasNext()) {
+            Placement p = back.next();
+            if (p.s == s && p.step > 0) {
+                extra[s] -= p.step;
+                back.remove();
+                return;
+            }
+        }
+    }
+
+    private void evidence(int s, boolean success) {
+        fade(s);
+        if (success) {
+            good[s]++;
+        } else {
+            bad[s]++;
+        }
+    }
+
+    private void fade(int s) {
+        double now = front.now();
+        double keep = Math.pow(0.5, (now - evidenceAt[s]) / FORGET);
+        good[s] *= keep;
+        bad[s] *= keep;
+        evidenceAt[s] = now;
+    }
+
+    private double chance(int s) {
+        fade(s);
+        return (1 + good[s]) / (1 + good[s] + bad[s]);
+    }
+
+    private void failed(int s, Outcome outcome) {
+        double now = front.now();
+        if (outcome == Outcome.FULL) {
+            full[s] = true;
+            return;
+        }
+        if (outcome == Outcome.NEVER_SENT || outcome == Outcome.CANCELLED) {
+            return;
+        }
+        if (outcome == Outcome.TIMED_OUT) {
+            timedOutAt[s] = now;
+            int late = 0;
+            int ready = 0;
+            for (int k = 0; k < n; k++) {
+                if (ready(k)) {
+                    ready++;
+                    late += now - timedOutAt[k] < 2 ? 1 : 0;
+                }
+            }
+            // Many servers late at once: suspect what they share before the servers.
+            boolean was = shared;
+            shared = late >= Math.max(3, ready / 3);
+            if (shared != was) {
+                front.log("setups late at " + late + " of " + ready + " servers: shared cause " + shared);
+            }
+            if (shared) {
+                return;
+            }
+        }
+        evidence(s, false);
+        silent(s);
+    }
+
+    private void silent(int s) {
+        silence[s]++;
+        seekAt[s] = Math.min(seekAt[s], front.now());
+        if (silence[s] >= SILENT && !offline[s]) {
+            offline[s] = true;
+            front.log("offline " + ep[s] + " after " + silence[s] + " silences, own " + held.get(s).size());
+            for (Tunnel tun : new ArrayList<>(held.get(s))) {
+                front.move(tun);
+            }
+        }
+    }
+
+    // ---- Seeks
+
+    /** What a probe brought. */
+    public void probed(String server, Outcome outcome, Report report) {
+        Integer at = index.get(server);
+        if (at == null) {
+            return;
+        }
+        int s = at;
+        double now = front.now();
+        seeking[s] = false;
+        seekAt[s] = now + seekEvery() * (0.9 + 0.2 * random.nextDouble());
+        if (outcome == Outcome.FULL) {
+            full[s] = true;
+            return;
+        }
+        if (outcome != Outcome.OK) {
+            silent(s);
+            if (offline[s]) {
+                seekAt[s] = now + Math.min(SLOWEST_SEEK, seekEvery() * 2);
+            }
+            return;
+        }
+        if (offline[s]) {
+            front.log("back " + ep[s] + " load " + report.load);
+            offline[s] = false;
+            if (report.load < 0.1 && !cold(s, now)) {
+                // Silent and now empty: it restarted, though the list has not told yet.
+                restarted(s, now);
+            }
+        }
+        silence[s] = 0;
+        full[s] = false;
+        answeredAt[s] = now;
+        double seen = !Double.isNaN(report.load) ? report.load : report.busy;
+        if (!Double.isNaN(seen)) {
+            load[s] = seen;
+            for (Iterator<Placement> i = recent.iterator(); i.hasNext();) {
+                Placement p = i.next();
+                if (p.s == s && p.at < now - REPORT_LAG) {
+                    extra[s] -= p.step;
+                    i.remove();
+                }
+            }
+            if (!cold(s, now) && !Double.isNaN(report.held)) {
+                int m = model[s] & 63;
+                modelHeld[m] = 0.97 * modelHeld[m] + report.held;
+                modelLoad[m] = 0.97 * modelLoad[m] + seen;
+            }
+        }
+    }
+
+    /** Steady seeks, as often as their fee allows. */
+    private double seekEvery() {
+        double rate = Math.max(0.2, arrivals);
+        return Math.max(FASTEST_SEEK, Math.min(SLOWEST_SEEK, n * set.probeFee / (PROBE_SPEND * rate)));
+    }
+
+    public void woke(long token) {
+        double now = front.now();
+        if (token == ASK_LIST) {
+            front.watch();
+            return;
+        }
+        front.wake(TIMER, SEEK);
+        for (int s = 0; s < n && set.probesAllowed; s++) {
+            if (running[s] && !seeking[s] && seekAt[s] <= now) {
+                seeking[s] = true;
+                front.probe(ep[s]);
+            }
+        }
+    }
+
+    // ---- The list
+
+    public void list(List<Listed> servers, boolean whole) {
+        boolean[] named = new boolean[n + servers.size()];
+        for (Listed l : servers) {
+            int s = index.computeIfAbsent(l.ep(), this::add);
+            named[s] = true;
+            zone[s] = l.zone();
+            model[s] = l.model();
+            cell[s] = l.cell();
+            weight[s] = l.weight() > 0 ? l.weight() : 1;
+            running[s] = l.state() == Listed.State.RUNNING;
+            if (l.startedAt() > startedAt[s] + 1e-3) {
+                restarted(s, l.startedAt());
+            }
+        }
+        for (int s = 0; whole && s < n; s++) {
+            running[s] &= named[s];
+        }
+        listBackOff = 0.5;
+    }
+
+    /** Asking the list failed or its changes stopped coming: ask again, later each time. */
+    public void listFailed() {
+        front.wake(listBackOff * (0.75 + 0.5 * random.nextDouble()), ASK_LIST);
+        listBackOff = Math.min(2 * listBackOff, Math.min(4, set.askEvery / 2));
+    }
+
+    private void restarted(int s, double at) {
+        startedAt[s] = at;
+        coldAt[s] = front.now();
+        coldCredit[s] = random.nextDouble();
+        silence[s] = 0;
+        full[s] = false;
+        load[s] = 0;
+        good[s] = 0;
+        bad[s] = 0;
+        seekAt[s] = Math.min(seekAt[s], front.now());
+    }
+
+    private int add(String server) {
+        if (n == ep.length) {
+            int m = 2 * n;
+            ep = Arrays.copyOf(ep, m);
+            zone = Arrays.copyOf(zone, m);
+            model = Arrays.copyOf(model, m);
+            cell = Arrays.copyOf(cell, m);
+            running = Arrays.copyOf(running, m);
+            weight = Arrays.copyOf(weight, m);
+            startedAt = Arrays.copyOf(startedAt, m);
+            load = Arrays.copyOf(load, m);
+            answeredAt = Arrays.copyOf(answeredAt, m);
+            extra = Arrays.copyOf(extra, m);
+            own = Arrays.copyOf(own, m);
+            silence = Arrays.copyOf(silence, m);
+            offline = Arrays.copyOf(offline, m);
+            full = Arrays.copyOf(full, m);
+            seeking = Arrays.copyOf(seeking, m);
+            seekAt = Arrays.copyOf(seekAt, m);
+            good = Arrays.copyOf(good, m);
+            bad = Arrays.copyOf(bad, m);
+            evidenceAt = Arrays.copyOf(evidenceAt, m);
+            timedOutAt = Arrays.copyOf(timedOutAt, m);
+            coldCredit = Arrays.copyOf(coldCredit, m);
+            coldAt = Arrays.copyOf(coldAt, m);
+        }
+        ep[n] = server;
+        startedAt[n] = Double.NEGATIVE_INFINITY;
+        timedOutAt[n] = Double.NEGATIVE_INFINITY;
+        seekAt[n] = front.now() + FASTEST_SEEK * random.nextDouble();
+        held.add(new ArrayList<>());
+        groups.add(new HashMap<>());
+        return n++;
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/Front.java
@@ -0,0 +1,34 @@
+package asterpulley;
+
+/**
+ * What the decision module asks of the protocol front that hosts it. A front hands events in by calls on
+ * {@link Balance} and on its tunnel handles; all results leave through here and take effect in the order of the calls.
+ */
+public interface Front {
+    /** The time now, in seconds on a clock of its own that only moves forward. */
+    double now();
+
+    /** Sends one setup of this tunnel to this server; its end is reported within {@code timeout} seconds. */
+    void setup(Balance.Tunnel tun, String ep, double timeout);
+
+    /** Final answer: declined, come back after {@code retryAfter} seconds (0: no advice). */
+    void decline(Balance.Tunnel tun, double retryAfter);
+
+    /** Final answer: closed with error, nothing promised of what ran. */
+    void closeWithError(Balance.Tunnel tun);
+
+    /** Ends a standing tunnel politely; its client comes again. */
+    void move(Balance.Tunnel tun);
+
+    /** Asks a server for its load; {@link Balance#probed} brings the answer. */
+    void probe(String ep);
+
+    /** Asks for the changes of the server list from now on; a list call answers. */
+    void watch();
+
+    /** Calls {@link Balance#woke} after so many seconds. */
+    void wake(double after, long token);
+
+    /** One line for the operators. */
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/asterpulley/Settings.java
@@ -0,0 +1,42 @@
+package asterpulley;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What an instance is told at its start, as far as the module reads it; the values here stand for what is missing. */
+public final class Settings {
+    public enum Kind { REPEATABLE, REFERENCED, ONCE_ONLY }
+
+    /** The servers that know a referenced tunnel's repeat. */
+    public enum Reach { ALL, ZONE, CELL }
+
+    public static final class Profile {
+        public double setupGoal = 0.5;
+        public double clientTimeout = 2;
+        public double credit = 1;
+        public Kind kind = Kind.ONCE_ONLY;
+        public Reach reach = Reach.CELL;
+        public double window;
+    }
+
+    public final List<Profile> profiles = new ArrayList<>();
+    public final List<Double> shares = new ArrayList<>();
+    public int siblings = 1;
+    public int zone;
+    public boolean listMustBeAsked;
+    public boolean probesAllowed;
+    public boolean retryAfterHeard;
+    public double longestRetryAfter;
+    public int mostSetups = 1;
+    public double tick = 0.001;
+    public double askEvery = 10;
+    public double coldFrom = 0.1;
+    public double coldTime = 20;
+    public double fallMultiple = 2;
+    public double fallTime = 1;
+    public double crossingFee;
+    public double moveFee;
+    public double probeFee;
+    public double excessCredit = 1;
+    public boolean groupsShareWork;
+}
--- /dev/null
+++ b/src/main/java/asterpulley/drill/Relay.java
@@ -0,0 +1,196 @@
+package asterpulley.drill;
+
+import asterpulley.Balance;
+import asterpulley.Front;
+import asterpulley.Listed;
+import asterpulley.Settings;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One relay: its module instance, its open tunnels, and the orders it has given in this batch. */
+final class Relay implements Front {
+    /** An order that waits for the reply to be written. */
+    private interface Order {
+        void write(JsonGenerator out) throws IOException;
+    }
+
+    private final Map<Long, Balance.Tunnel> tunnels = new HashMap<>();
+    private final List<Order> orders = new ArrayList<>();
+    private final Balance balance;
+    private double now;
+    private boolean broken;
+
+    Relay(double now, long seed, Settings settings) {
+        this.now = now;
+        this.balance = new Balance(settings, seed, this);
+    }
+
+    void event(double at, String op, Map<String, Object> e, List<Listed> listed) {
+        now = at;
+        if (broken) {
+            return;
+        }
+        try {
+            dispatch(op, e, listed);
+        } catch (Wire.Malformed m) {
+            throw m;
+        } catch (RuntimeException bug) {
+            broken = true;
+            StringWriter trace = new StringWriter();
+            bug.printStackTrace(new PrintWriter(trace));
+            order("Panic", o -> o.writeStringField("bodyText", trace.toString()));
+        }
+    }
+
+    private void dispatch(String op, Map<String, Object> e, List<Listed> listed) {
+        switch (op) {
+            case "Announce" -> {
+                if (listed == null) {
+                    balance.listFailed();
+                } else {
+                    balance.list(listed, !Wire.text(e, "mode").equals("D"));
+                }
+            }
+            case "Order" -> {
+                Balance.Tunnel tun = balance.take(Wire.whole(e, "xid"), profile(e), customer(e),
+                        Wire.textOrNull(e, "room"), Wire.textOrNull(e, "routeKey"),
+                        Wire.seconds(e, "timeBudgetMs"), Wire.flag(e, "midFlow"));
+                tunnels.put(tun.id, tun);
+                forget(tun);
+            }
+            case "Existing" -> {
+                Balance.Tunnel tun = balance.standing(Wire.whole(e, "xid"), profile(e), customer(e),
+                        Wire.textOrNull(e, "room"), Wire.textOrNull(e, "routeKey"), Wire.text(e, "backend"));
+                tunnels.put(tun.id, tun);
+            }
+            case "AckFirst", "Change", "Resolved", "Withdrawn" -> tunnel(op, e);
+            case "Pong" -> balance.probed(Wire.text(e, "backend"), Wire.outcome(Wire.text(e, "result")),
+                    Wire.report(e));
+            case "Elapsed" -> balance.woke(Wire.whole(e, "ref"));
+            case "Memo" -> {
+            }
+            default -> throw new Wire.Malformed("unknown event " + op);
+        }
+    }
+
+    private void tunnel(String op, Map<String, Object> e) {
+        Balance.Tunnel tun = tunnels.get(Wire.whole(e, "xid"));
+        if (tun == null) {
+            return;
+        }
+        int n = (int) Wire.number(e, "hop", 0);
+        switch (op) {
+            case "AckFirst" -> tun.opened(n, Wire.seconds(e, "lagMs"));
+            case "Change" -> {
+                if (Wire.whole(e, "what") == 1) {
+                    tun.load(Wire.number(e, "value", 0) / 1e6);
+                } else if (Wire.whole(e, "what") == 2) {
+                    tun.delay(Wire.seconds(e, "value"));
+                }
+            }
+            case "Resolved" -> tun.ended(n, Wire.outcome(Wire.text(e, "result")), Wire.seconds(e, "lagMs"),
+                    Wire.flag(e, "noMore"));
+            default -> tun.withdrawn();
+        }
+        forget(tun);
+    }
+
+    private void forget(Balance.Tunnel tun) {
+        if (tun.over()) {
+            tunnels.remove(tun.id);
+        }
+    }
+
+    private static int profile(Map<String, Object> e) {
+        return (int) Wire.number(e, "class", 0);
+    }
+
+    private static int customer(Map<String, Object> e) {
+        return (int) Wire.number(e, "account", 0);
+    }
+
+    void reply(long i, JsonGenerator out) throws IOException {
+        if (orders.isEmpty()) {
+            return;
+        }
+        out.writeStartObject();
+        out.writeNumberField("i", i);
+        out.writeArrayFieldStart("orders");
+        for (Order o : orders) {
+            out.writeStartObject();
+            o.write(out);
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+        out.writeEndObject();
+        orders.clear();
+    }
+
+    private void order(String op, Order fields) {
+        orders.add(out -> {
+            out.writeStringField("op", op);
+            fields.write(out);
+        });
+    }
+
+    @Override
+    public double now() {
+        return now;
+    }
+
+    @Override
+    public void setup(Balance.Tunnel tun, String ep, double timeout) {
+        order("Attempt", o -> {
+            o.writeNumberField("xid", tun.id);
+            o.writeNumberField("timeoutMs", timeout * 1000);
+            o.writeStringField("backend", ep);
+        });
+    }
+
+    @Override
+    public void decline(Balance.Tunnel tun, double retryAfter) {
+        order("TurnAway", o -> {
+            o.writeNumberField("xid", tun.id);
+            o.writeNumberField("backoffMs", retryAfter * 1000);
+        });
+    }
+
+    @Override
+    public void closeWithError(Balance.Tunnel tun) {
+        order("RespondError", o -> o.writeNumberField("xid", tun.id));
+    }
+
+    @Override
+    public void move(Balance.Tunnel tun) {
+        order("Relocate", o -> o.writeNumberField("xid", tun.id));
+    }
+
+    @Override
+    public void probe(String ep) {
+        order("Poll", o -> o.writeStringField("backend", ep));
+    }
+
+    @Override
+    public void watch() {
+        order("Watch", o -> o.writeBooleanField("active", true));
+    }
+
+    @Override
+    public void wake(double after, long token) {
+        order("Schedule", o -> {
+            o.writeNumberField("spanMs", after * 1000);
+            o.writeNumberField("ref", token);
+        });
+    }
+
+    @Override
+    public void log(String line) {
+        order("Trace", o -> o.writeStringField("bodyText", line));
+    }
+}
