--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -37,6 +37,13 @@
     /** Evidence on a server's health halves in this time. */
     private static final double FORGET = 6;
     private static final double TIMER = 0.1;
+    /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
+    private static final double RECENT = 3;
+    /** A factor above which standing tunnels are moved away, and the one that moves aim at, here and there. */
+    private static final double CROWDED = 1.0;
+    private static final double EASED = 0.85;
+    /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
+    private static final double MOVE_PACE = 3;
     private static final long SEEK = 0;
     private static final long ASK_LIST = 1;
 
@@ -66,7 +73,8 @@
     private double[] good = new double[8];
     private double[] bad = new double[8];
     private double[] evidenceAt = new double[8];
-    private double[] timedOutAt = new double[8];
+    private double[] failedAt = new double[8];
+    private double[] workedAt = new double[8];
     private double[] coldCredit = new double[8];
     private double[] coldAt = new double[8];
     private final List<List<Tunnel>> held = new ArrayList<>();
@@ -87,6 +95,10 @@
     private double listBackOff = 0.5;
     private boolean declining;
     private boolean shared;
+    private double window = 64;
+    private double windowCutAt;
+    private int inFlight;
+    private double moveCredit = 5;
     private final ArrayDeque<Placement> recent = new ArrayDeque<>();
 
     private record Placement(int s, double at, double step) {
@@ -119,6 +131,7 @@
         private int out = -1;
         private int on = -1;
         private boolean done;
+        private boolean moving;
         private boolean mayHaveRun;
         private int ranOn;
         private double ranAt;
@@ -149,8 +162,9 @@
             out = -1;
             done = true;
             stand(this, s);
+            inFlight--;
             silence[s] = 0;
-            evidence(s, true);
+            worked(s);
             setupLagSpread += 0.1 * (Math.abs(lag - setupLag) - setupLagSpread);
             setupLag += 0.1 * (lag - setupLag);
         }
@@ -185,9 +199,10 @@
             }
             int s = out;
             out = -1;
+            inFlight--;
             if (outcome == Outcome.OK) {
                 done = true;
-                evidence(s, true);
+                worked(s);
                 return;
             }
             if (!outcome.provesNotRun) {
@@ -270,7 +285,7 @@
             giveUp(tun);
             return;
         }
-        int s = pick(tun);
+        int s = shared && (tun.setups > 0 || inFlight >= window) ? -1 : pick(tun);
         if (s < 0) {
             giveUp(tun);
             return;
@@ -283,6 +298,7 @@
         }
         tun.setups++;
         tun.out = s;
+        inFlight++;
         tun.sentAt = now;
         tun.tried |= 1L << (s & 63);
         later(s, step(s, tun));
@@ -484,13 +500,12 @@
         }
     }
 
-    private void evidence(int s, boolean success) {
+    private void worked(int s) {
         fade(s);
-        if (success) {
-            good[s]++;
-        } else {
-            bad[s]++;
-        }
+        good[s]++;
+        workedAt[s] = front.now();
+        window = Math.min(64, window + 1 / window);
+        judge();
     }
 
     private void fade(int s) {
@@ -515,37 +530,73 @@
         if (outcome == Outcome.NEVER_SENT || outcome == Outcome.CANCELLED) {
             return;
         }
-        if (outcome == Outcome.TIMED_OUT) {
-            timedOutAt[s] = now;
-            int late = 0;
-            int ready = 0;
-            for (int k = 0; k < n; k++) {
-                if (ready(k)) {
-                    ready++;
-                    late += now - timedOutAt[k] < 2 ? 1 : 0;
-                }
-            }
-            // Many servers late at once: suspect what they share before the servers.
-            boolean was = shared;
-            shared = late >= Math.max(3, ready / 3);
-            if (shared != was) {
-                front.log("setups late at " + late + " of " + ready + " servers: shared cause " + shared);
+        failedAt[s] = now;
+        judge();
+        if (shared) {
+            // What the servers share is overloaded: fewer setups at once until they succeed again.
+            if (now - windowCutAt > 0.5) {
+                window = Math.max(1, Math.min(window, inFlight + 1) * 0.7);
+                windowCutAt = now;
             }
-            if (shared) {
-                return;
+            return;
+        }
+        fade(s);
+        bad[s]++;
+        silence[s]++;
+        seekAt[s] = Math.min(seekAt[s], now);
+    }
+
+    /** When setups fail at most servers tried of late, what they share is suspected before the servers. */
+    private void judge() {
+        double since = front.now() - RECENT;
+        int failing = 0;
+        int seen = 0;
+        for (int s = 0; s < n; s++) {
+            if (ready(s) && Math.max(failedAt[s], workedAt[s]) > since) {
+                seen++;
+                failing += failedAt[s] > workedAt[s] ? 1 : 0;
             }
         }
-        evidence(s, false);
-        silent(s);
+        boolean was = shared;
+        shared = failing >= 3 && failing >= 0.6 * seen;
+        if (shared != was) {
+            front.log("shared cause " + (shared ? "suspected" : "over") + ": setups fail at " + failing + " of " + seen);
+        }
     }
 
+    /** An unanswered seek; failed setups count too, but only a seek's silence takes a server offline. */
     private void silent(int s) {
         silence[s]++;
-        seekAt[s] = Math.min(seekAt[s], front.now());
         if (silence[s] >= SILENT && !offline[s]) {
             offline[s] = true;
             front.log("offline " + ep[s] + " after " + silence[s] + " silences, own " + held.get(s).size());
-            for (Tunnel tun : new ArrayList<>(held.get(s))) {
+        }
+    }
+
+    /** Standing tunnels leave a server that is offline or crowded, as fast as the others have room for them. */
+    private void relieve(int s) {
+        double f = factor(s);
+        double wanted = offline[s] ? own[s] : f > CROWDED ? own[s] * (f - EASED) / f : 0;
+        if (wanted <= 0 || held.get(s).isEmpty() || shared) {
+            return;
+        }
+        double room = 0;
+        for (int k = 0; k < n; k++) {
+            if (k != s && ready(k) && !cold(k, front.now())) {
+                room += Math.max(0, EASED - factor(k)) * capacity(k) / set.siblings;
+            }
+        }
+        List<Tunnel> leaving = new ArrayList<>(held.get(s));
+        leaving.sort((a, b) -> Double.compare(b.units, a.units));
+        for (Tunnel tun : leaving) {
+            if (wanted <= 0 || moveCredit < 1) {
+                break;
+            }
+            if (tun.units <= room && !tun.moving) {
+                tun.moving = true;
+                moveCredit--;
+                room -= tun.units;
+                wanted -= tun.units;
                 front.move(tun);
             }
         }
@@ -616,7 +667,9 @@
             return;
         }
         front.wake(TIMER, SEEK);
+        moveCredit = Math.min(10, moveCredit + TIMER * MOVE_PACE * Math.max(0.5, arrivals));
         for (int s = 0; s < n && set.probesAllowed; s++) {
+            relieve(s);
             if (running[s] && !seeking[s] && seekAt[s] <= now) {
                 seeking[s] = true;
                 front.probe(ep[s]);
@@ -686,13 +739,15 @@
             good = Arrays.copyOf(good, m);
             bad = Arrays.copyOf(bad, m);
             evidenceAt = Arrays.copyOf(evidenceAt, m);
-            timedOutAt = Arrays.copyOf(timedOutAt, m);
+            failedAt = Arrays.copyOf(failedAt, m);
+            workedAt = Arrays.copyOf(workedAt, m);
             coldCredit = Arrays.copyOf(coldCredit, m);
             coldAt = Arrays.copyOf(coldAt, m);
         }
         ep[n] = server;
         startedAt[n] = Double.NEGATIVE_INFINITY;
-        timedOutAt[n] = Double.NEGATIVE_INFINITY;
+        failedAt[n] = Double.NEGATIVE_INFINITY;
+        workedAt[n] = Double.NEGATIVE_INFINITY;
         seekAt[n] = front.now() + FASTEST_SEEK * random.nextDouble();
         held.add(new ArrayList<>());
         groups.add(new HashMap<>());
