--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -301,7 +301,7 @@
         inFlight++;
         tun.sentAt = now;
         tun.tried |= 1L << (s & 63);
-        later(s, step(s, tun));
+        later(s, step(s, tun) * set.siblings);
         if (cold(s, now)) {
             coldCredit[s] -= 1;
         }
