--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -64,6 +64,7 @@
     private double[] load = new double[8];
     private double[] answeredAt = new double[8];
     private double[] extra = new double[8];
+    private double[] placed = new double[8];
     private double[] own = new double[8];
     private int[] silence = new int[8];
     private boolean[] offline = new boolean[8];
@@ -301,7 +302,7 @@
         inFlight++;
         tun.sentAt = now;
         tun.tried |= 1L << (s & 63);
-        later(s, step(s, tun) * set.siblings);
+        later(s, step(s, tun));
         if (cold(s, now)) {
             coldCredit[s] -= 1;
         }
@@ -362,7 +363,7 @@
                 if ((barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
                     continue;
                 }
-                double f = factor(s) + step(s, tun) + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
+                double f = factor(s) + (set.siblings - 1) * placed[s] + step(s, tun) + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
                 if (f < low - 1e-9) {
                     low = f;
                     best = s;
@@ -485,6 +486,7 @@
 
     private void later(int s, double step) {
         extra[s] += step;
+        placed[s] += Math.max(0, step);
         recent.add(new Placement(s, front.now(), step));
     }
 
@@ -494,6 +496,7 @@
             Placement p = back.next();
             if (p.s == s && p.step > 0) {
                 extra[s] -= p.step;
+                placed[s] -= p.step;
                 back.remove();
                 return;
             }
@@ -643,6 +646,7 @@
                 Placement p = i.next();
                 if (p.s == s && p.at < now - REPORT_LAG) {
                     extra[s] -= p.step;
+                    placed[s] -= Math.max(0, p.step);
                     i.remove();
                 }
             }
@@ -730,6 +734,7 @@
             load = Arrays.copyOf(load, m);
             answeredAt = Arrays.copyOf(answeredAt, m);
             extra = Arrays.copyOf(extra, m);
+            placed = Arrays.copyOf(placed, m);
             own = Arrays.copyOf(own, m);
             silence = Arrays.copyOf(silence, m);
             offline = Arrays.copyOf(offline, m);
