--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -411,7 +411,7 @@
     }
 
     private boolean isFull(int s) {
-        return full[s] || factor(s) >= FULL;
+        return full[s] || factor(s) + (set.siblings - 1) * placed[s] >= FULL;
     }
 
     /** Probed load over capacity, and a step for each own placement that the report cannot know. */
