--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -422,11 +422,27 @@
     private double step(int s, Tunnel tun) {
         double units = units(tun.profile, profileLoad[tun.profile]);
         if (tun.group != null && !groups.get(s).containsKey(tun.group)) {
-            units += GROUP_COST;
+            units += GROUP_COST * Math.min(1, 0.25 + 0.35 * homeRank(s, tun.group));
         }
         return units / capacity(s);
     }
 
+    /** The place of a server among its zone's in an order that all relays give this group, so that they meet there. */
+    private int homeRank(int s, String group) {
+        int rank = 0;
+        int mine = home(s, group);
+        for (int k = 0; k < n; k++) {
+            rank += k != s && zone[k] == zone[s] && ready(k) && home(k, group) < mine ? 1 : 0;
+        }
+        return rank;
+    }
+
+    private int home(int s, String group) {
+        int h = (ep[s].hashCode() * 31 ^ group.hashCode()) * 0x9E3779B1;
+        h = (h ^ h >>> 15) * 0x85EBCA6B;
+        return h ^ h >>> 13;
+    }
+
     /** A load in mean loads. */
     private double units(int profile, double cores) {
         double sum = 0;
@@ -441,26 +457,7 @@
     /** How many mean loads fill this server now, learned from what servers hold at which load. */
     private double capacity(int s) {
         int m = model[s] & 63;
-        double warm;
-        if (modelLoad[m] > 0.5) {
-            warm = modelHeld[m] / modelLoad[m];
-        } else {
-            double loads = 0;
-            double sizes = 0;
-            int known = 0;
-            for (int k = 0; k < n; k++) {
-                if (ready(k) && answeredAt[k] > 0) {
-                    loads += load[k] * weight[k];
-                    sizes += weight[k];
-                    known++;
-                }
-            }
-            double all = Math.max(1, ownUnits) * set.siblings;
-            warm = loads <= 0 ? 40 : weight[s] * all / loads;
-            if (known > 0) {
-                warm = Math.max(warm, 5 * weight[s] * known / sizes);
-            }
-        }
+        double warm = modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] : 40;
         return Math.max(1, warm * warmth(s, front.now()));
     }
 
@@ -650,9 +647,10 @@
                     i.remove();
                 }
             }
-            if (!cold(s, now) && !Double.isNaN(report.held)) {
+            if (!cold(s, now)) {
+                // Where reports do not tell what a server holds, the siblings are taken to hold as much there.
                 int m = model[s] & 63;
-                modelHeld[m] = 0.97 * modelHeld[m] + report.held;
+                modelHeld[m] = 0.97 * modelHeld[m] + (report.held >= 0 ? report.held : own[s] * set.siblings);
                 modelLoad[m] = 0.97 * modelLoad[m] + seen;
             }
         }
