--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -32,6 +32,8 @@
     private static final double FEE_TO_FACTOR = 2.5;
     /** What a group costs a server that holds none of it, in mean loads: not told, of the order of a few. */
     private static final double GROUP_COST = 2;
+    /** How much more that counts in the choice: it stays for a group's life, an uneven factor only for a tunnel's. */
+    private static final double GROUP_PULL = 6;
     /** Part of the cold budget that is used: the rest covers chance and a wrong guess of capacity. */
     private static final double COLD_CARE = 0.5;
     /** Evidence on a server's health halves in this time. */
@@ -363,7 +365,8 @@
                 if ((barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
                     continue;
                 }
-                double f = factor(s) + (set.siblings - 1) * placed[s] + step(s, tun) + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
+                double f = factor(s) + (set.siblings - 1) * placed[s] + step(s, tun) + pull(s, tun)
+                        + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
                 if (f < low - 1e-9) {
                     low = f;
                     best = s;
@@ -422,11 +425,19 @@
     private double step(int s, Tunnel tun) {
         double units = units(tun.profile, profileLoad[tun.profile]);
         if (tun.group != null && !groups.get(s).containsKey(tun.group)) {
-            units += GROUP_COST * Math.min(1, 0.25 + 0.35 * homeRank(s, tun.group));
+            units += GROUP_COST;
         }
         return units / capacity(s);
     }
 
+    /** What a group's first member at a server costs beyond its own step: paid as long as any member stays. */
+    private double pull(int s, Tunnel tun) {
+        if (tun.group == null || groups.get(s).containsKey(tun.group)) {
+            return 0;
+        }
+        return GROUP_PULL * GROUP_COST * Math.min(1, 0.25 + 0.35 * homeRank(s, tun.group)) / capacity(s);
+    }
+
     /** The place of a server among its zone's in an order that all relays give this group, so that they meet there. */
     private int homeRank(int s, String group) {
         int rank = 0;
