--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -29,11 +29,11 @@
     /** Reports are refreshed and arrive late; a placement younger than this is not yet in them. */
     private static final double REPORT_LAG = 1.0;
     /** A crossing's fee is lost for the tunnel's whole life, as is what a factor this many times as high spoils. */
-    private static final double FEE_TO_FACTOR = 2.5;
+    private static final double FEE_TO_FACTOR = 4;
     /** What a group costs a server that holds none of it, in mean loads: not told, of the order of a few. */
     private static final double GROUP_COST = 2;
     /** How much more that counts in the choice: it stays for a group's life, an uneven factor only for a tunnel's. */
-    private static final double GROUP_PULL = 6;
+    private static final double GROUP_PULL = 10;
     /** Part of the cold budget that is used: the rest covers chance and a wrong guess of capacity. */
     private static final double COLD_CARE = 0.5;
     /** Evidence on a server's health halves in this time. */
