--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -597,8 +597,11 @@
                 room += Math.max(0, EASED - factor(k)) * capacity(k) / set.siblings;
             }
         }
+        // A move must not split a group further, for that only adds load: what gathers a group goes first.
         List<Tunnel> leaving = new ArrayList<>(held.get(s));
-        leaving.sort((a, b) -> Double.compare(b.units, a.units));
+        leaving.removeIf(tun -> !offline[s] && gathers(tun, s) < 0);
+        leaving.sort((a, b) -> Double.compare(b.units + GROUP_COST * gathers(b, s),
+                a.units + GROUP_COST * gathers(a, s)));
         for (Tunnel tun : leaving) {
             if (wanted <= 0 || moveCredit < 1) {
                 break;
@@ -613,6 +616,20 @@
         }
     }
 
+    /** Servers of this tunnel's group spared by its move from here: 1, 0, or -1 when it would take up one more. */
+    private int gathers(Tunnel tun, int s) {
+        if (tun.group == null) {
+            return 0;
+        }
+        int freed = groups.get(s).get(tun.group) == 1 ? 1 : 0;
+        for (int k = 0; k < n; k++) {
+            if (k != s && zone[k] == zone[s] && ready(k) && !isFull(k) && groups.get(k).containsKey(tun.group)) {
+                return freed;
+            }
+        }
+        return freed - 1;
+    }
+
     // ---- Seeks
 
     /** What a probe brought. */
