--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -19,9 +19,9 @@
     /** Unanswered seeks and failed setups in a row that mark a server offline. */
     private static final int SILENT = 3;
     /** A factor from which a server counts as full: past it each further load makes all its messages late. */
-    private static final double FULL = 0.97;
+    private static final double FULL = 0.8;
     /** A factor from which shares are held: within a burst's reach of full. */
-    private static final double NEAR_FULL = 0.85;
+    private static final double NEAR_FULL = 0.75;
     /** Points of service that steady probes may cost. */
     private static final double PROBE_SPEND = 0.01;
     private static final double FASTEST_SEEK = 0.4;
@@ -42,8 +42,8 @@
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
     /** A factor above which standing tunnels are moved away, and the one that moves aim at, here and there. */
-    private static final double CROWDED = 1.0;
-    private static final double EASED = 0.85;
+    private static final double CROWDED = 0.9;
+    private static final double EASED = 0.8;
     /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
     private static final double MOVE_PACE = 3;
     private static final long SEEK = 0;
