--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -44,6 +44,10 @@
     /** A factor above which standing tunnels are moved away, and the one that moves aim at, here and there. */
     private static final double CROWDED = 0.9;
     private static final double EASED = 0.8;
+    /** Beyond this work piles up and no message is in time: some leave though nobody has room for them yet. */
+    private static final double HOPELESS = 1.05;
+    /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
+    private static final double STAY = 4;
     /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
     private static final double MOVE_PACE = 3;
     private static final long SEEK = 0;
@@ -56,6 +60,7 @@
     // Figures of servers under a dense index.
     private final Map<String, Integer> index = new HashMap<>();
     private int n;
+    private int zones = 1;
     private String[] ep = new String[8];
     private int[] zone = new int[8];
     private int[] model = new int[8];
@@ -140,6 +145,7 @@
         private double ranAt;
         private double sentAt;
         private double units;
+        private double openedAt;
         private long tried;
 
         private Tunnel(long id, int profile, int customer, String group, double budget) {
@@ -255,6 +261,7 @@
 
     private void stand(Tunnel tun, int s) {
         tun.on = s;
+        tun.openedAt = tun.setups == 0 ? Double.NEGATIVE_INFINITY : front.now();
         tun.units = units(tun.profile, profileLoad[tun.profile]);
         own[s] += tun.units;
         ownUnits += tun.units;
@@ -432,10 +439,17 @@
 
     /** What a group's first member at a server costs beyond its own step: paid as long as any member stays. */
     private double pull(int s, Tunnel tun) {
-        if (tun.group == null || groups.get(s).containsKey(tun.group)) {
-            return 0;
-        }
-        return GROUP_PULL * GROUP_COST * Math.min(1, 0.25 + 0.35 * homeRank(s, tun.group)) / capacity(s);
+        return tun.group == null ? 0 : GROUP_PULL * GROUP_COST * added(s, tun.group) / capacity(s);
+    }
+
+    /** The chance that a member placed here makes this server pay for its group anew. */
+    private double added(int s, String group) {
+        return groups.get(s).containsKey(group) ? 0 : alone(s, group);
+    }
+
+    /** The chance that no sibling holds the group here: small at its home when many relays share a zone. */
+    private double alone(int s, String group) {
+        return Math.min(1, Math.pow(0.5, (double) set.siblings / zones - 0.5) + 0.35 * homeRank(s, group));
     }
 
     /** The place of a server among its zone's in an order that all relays give this group, so that they meet there. */
@@ -586,6 +600,7 @@
 
     /** Standing tunnels leave a server that is offline or crowded, as fast as the others have room for them. */
     private void relieve(int s) {
+        double now = front.now();
         double f = factor(s);
         double wanted = offline[s] ? own[s] : f > CROWDED ? own[s] * (f - EASED) / f : 0;
         if (wanted <= 0 || held.get(s).isEmpty() || shared) {
@@ -593,20 +608,20 @@
         }
         double room = 0;
         for (int k = 0; k < n; k++) {
-            if (k != s && ready(k) && !cold(k, front.now())) {
+            if (k != s && ready(k) && !cold(k, now)) {
                 room += Math.max(0, EASED - factor(k)) * capacity(k) / set.siblings;
             }
         }
         // A move must not split a group further, for that only adds load: what gathers a group goes first.
         List<Tunnel> leaving = new ArrayList<>(held.get(s));
-        leaving.removeIf(tun -> !offline[s] && gathers(tun, s) < 0);
+        leaving.removeIf(tun -> !offline[s] && (now - tun.openedAt < STAY || gathers(tun, s) < -0.01));
         leaving.sort((a, b) -> Double.compare(b.units + GROUP_COST * gathers(b, s),
                 a.units + GROUP_COST * gathers(a, s)));
         for (Tunnel tun : leaving) {
             if (wanted <= 0 || moveCredit < 1) {
                 break;
             }
-            if (tun.units <= room && !tun.moving) {
+            if ((tun.units <= room || f > HOPELESS) && !tun.moving) {
                 tun.moving = true;
                 moveCredit--;
                 room -= tun.units;
@@ -616,18 +631,18 @@
         }
     }
 
-    /** Servers of this tunnel's group spared by its move from here: 1, 0, or -1 when it would take up one more. */
-    private int gathers(Tunnel tun, int s) {
+    /** Servers of its group spared by a tunnel's move from here, as expected; below 0 it takes up more. */
+    private double gathers(Tunnel tun, int s) {
         if (tun.group == null) {
             return 0;
         }
-        int freed = groups.get(s).get(tun.group) == 1 ? 1 : 0;
+        double taken = 1;
         for (int k = 0; k < n; k++) {
-            if (k != s && zone[k] == zone[s] && ready(k) && !isFull(k) && groups.get(k).containsKey(tun.group)) {
-                return freed;
+            if (k != s && zone[k] == zone[s] && ready(k) && !isFull(k)) {
+                taken = Math.min(taken, added(k, tun.group));
             }
         }
-        return freed - 1;
+        return (groups.get(s).get(tun.group) == 1 ? alone(s, tun.group) : 0) - taken;
     }
 
     // ---- Seeks
@@ -715,6 +730,7 @@
             int s = index.computeIfAbsent(l.ep(), this::add);
             named[s] = true;
             zone[s] = l.zone();
+            zones = Math.max(zones, l.zone() + 1);
             model[s] = l.model();
             cell[s] = l.cell();
             weight[s] = l.weight() > 0 ? l.weight() : 1;
