--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -45,9 +45,9 @@
     private static final double CROWDED = 0.9;
     private static final double EASED = 0.8;
     /** Beyond this work piles up and no message is in time: some leave though nobody has room for them yet. */
-    private static final double HOPELESS = 1.05;
+    private static final double HOPELESS = 99;
     /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
-    private static final double STAY = 4;
+    private static final double STAY = 1;
     /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
     private static final double MOVE_PACE = 3;
     private static final long SEEK = 0;
@@ -449,7 +449,7 @@
 
     /** The chance that no sibling holds the group here: small at its home when many relays share a zone. */
     private double alone(int s, String group) {
-        return Math.min(1, Math.pow(0.5, (double) set.siblings / zones - 0.5) + 0.35 * homeRank(s, group));
+        return Math.min(1, Math.pow(0.25, (double) set.siblings / zones) + 0.35 * homeRank(s, group));
     }
 
     /** The place of a server among its zone's in an order that all relays give this group, so that they meet there. */
