--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -45,7 +45,7 @@
     private static final double CROWDED = 0.9;
     private static final double EASED = 0.8;
     /** Beyond this work piles up and no message is in time: some leave though nobody has room for them yet. */
-    private static final double HOPELESS = 99;
+    private static final double HOPELESS = 1.05;
     /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
     private static final double STAY = 1;
     /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
