--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -48,6 +48,7 @@
     private static final double HOPELESS = 1.05;
     /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
     private static final double STAY = 1;
+    private static final double SPLIT = 0.01;
     /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
     private static final double MOVE_PACE = 3;
     private static final long SEEK = 0;
@@ -614,7 +615,7 @@
         }
         // A move must not split a group further, for that only adds load: what gathers a group goes first.
         List<Tunnel> leaving = new ArrayList<>(held.get(s));
-        leaving.removeIf(tun -> !offline[s] && (now - tun.openedAt < STAY || gathers(tun, s) < -0.01));
+        leaving.removeIf(tun -> !offline[s] && (now - tun.openedAt < STAY || gathers(tun, s) < -SPLIT));
         leaving.sort((a, b) -> Double.compare(b.units + GROUP_COST * gathers(b, s),
                 a.units + GROUP_COST * gathers(a, s)));
         for (Tunnel tun : leaving) {
