--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -38,6 +38,7 @@
     private static final double COLD_CARE = 0.5;
     /** Evidence on a server's health halves in this time. */
     private static final double FORGET = 6;
+    private static final double ROOM_PULL = 2;
     private static final double TIMER = 0.1;
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
@@ -48,7 +49,7 @@
     private static final double HOPELESS = 1.05;
     /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
     private static final double STAY = 1;
-    private static final double SPLIT = 0.01;
+    private static final double SPLIT = 0.5;
     /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
     private static final double MOVE_PACE = 3;
     private static final long SEEK = 0;
@@ -370,6 +371,9 @@
                     continue;
                 }
                 anyRoom = true;
+                if (factor(s) + (set.siblings - 1) * placed[s] + ROOM_PULL / GROUP_PULL * pull(s, tun) > FULL) {
+                    continue;
+                }
                 if ((barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
                     continue;
                 }
