--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -38,7 +38,6 @@
     private static final double COLD_CARE = 0.5;
     /** Evidence on a server's health halves in this time. */
     private static final double FORGET = 6;
-    private static final double ROOM_PULL = 2;
     private static final double TIMER = 0.1;
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
@@ -51,7 +50,7 @@
     private static final double STAY = 1;
     private static final double SPLIT = 0.5;
     /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
-    private static final double MOVE_PACE = 3;
+    private static final double MOVE_PACE = 6;
     private static final long SEEK = 0;
     private static final long ASK_LIST = 1;
 
@@ -371,14 +370,14 @@
                     continue;
                 }
                 anyRoom = true;
-                if (factor(s) + (set.siblings - 1) * placed[s] + ROOM_PULL / GROUP_PULL * pull(s, tun) > FULL) {
+                double f = factor(s) + (set.siblings - 1) * placed[s] + pull(s, tun);
+                if (f > FULL) {
                     continue;
                 }
                 if ((barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
                     continue;
                 }
-                double f = factor(s) + (set.siblings - 1) * placed[s] + step(s, tun) + pull(s, tun)
-                        + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
+                f += step(s, tun) + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
                 if (f < low - 1e-9) {
                     low = f;
                     best = s;
