--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -38,6 +38,8 @@
     private static final double COLD_CARE = 0.5;
     /** Evidence on a server's health halves in this time. */
     private static final double FORGET = 6;
+    /** A server that drops standing tunnels is full for this long: piled-up work must drain first. */
+    private static final double REST = 2;
     private static final double TIMER = 0.1;
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
@@ -79,6 +81,7 @@
     private boolean[] full = new boolean[8];
     private boolean[] seeking = new boolean[8];
     private double[] seekAt = new double[8];
+    private double[] restUntil = new double[8];
     private double[] good = new double[8];
     private double[] bad = new double[8];
     private double[] evidenceAt = new double[8];
@@ -200,7 +203,9 @@
                 fall(this);
                 if (outcome == Outcome.RESET) {
                     // A lost server drops its tunnels before the list tells: ask it now.
+                    // One that still runs drops them because work has piled up: its low report is not room.
                     seekAt[s] = Math.min(seekAt[s], front.now());
+                    restUntil[s] = front.now() + REST;
                 }
                 return;
             }
@@ -425,7 +430,7 @@
     }
 
     private boolean isFull(int s) {
-        return full[s] || factor(s) + (set.siblings - 1) * placed[s] >= FULL;
+        return full[s] || front.now() < restUntil[s] || factor(s) + (set.siblings - 1) * placed[s] >= FULL;
     }
 
     /** Probed load over capacity, and a step for each own placement that the report cannot know. */
@@ -787,6 +792,7 @@
             full = Arrays.copyOf(full, m);
             seeking = Arrays.copyOf(seeking, m);
             seekAt = Arrays.copyOf(seekAt, m);
+            restUntil = Arrays.copyOf(restUntil, m);
             good = Arrays.copyOf(good, m);
             bad = Arrays.copyOf(bad, m);
             evidenceAt = Arrays.copyOf(evidenceAt, m);
