--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -46,8 +46,6 @@
     /** A factor above which standing tunnels are moved away, and the one that moves aim at, here and there. */
     private static final double CROWDED = 0.9;
     private static final double EASED = 0.8;
-    /** Beyond this work piles up and no message is in time: some leave though nobody has room for them yet. */
-    private static final double HOPELESS = 1.05;
     /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
     private static final double STAY = 1;
     private static final double SPLIT = 0.5;
@@ -150,6 +148,7 @@
         private double sentAt;
         private double units;
         private double openedAt;
+        private double rank;
         private long tried;
 
         private Tunnel(long id, int profile, int customer, String group, double budget) {
@@ -621,25 +620,37 @@
                 room += Math.max(0, EASED - factor(k)) * capacity(k) / set.siblings;
             }
         }
-        // A move must not split a group further, for that only adds load: what gathers a group goes first.
+        // A move must not split a group further, for that only adds load. Where nobody has room and no message is
+        // in time, some are shed: what frees the most load for the least credit goes, traffic over its share first.
+        boolean shed = room <= 0 && !offline[s];
         List<Tunnel> leaving = new ArrayList<>(held.get(s));
-        leaving.removeIf(tun -> !offline[s] && (now - tun.openedAt < STAY || gathers(tun, s) < -SPLIT));
-        leaving.sort((a, b) -> Double.compare(b.units + GROUP_COST * gathers(b, s),
-                a.units + GROUP_COST * gathers(a, s)));
-        for (Tunnel tun : leaving) {
+        leaving.removeIf(t -> t.moving || !offline[s] && (now - t.openedAt < STAY || !shed && gathers(t, s) < -SPLIT));
+        for (Tunnel t : leaving) {
+            t.rank = shed ? (t.units + GROUP_COST * freed(t, s)) / worth(t) : t.units + GROUP_COST * gathers(t, s);
+        }
+        leaving.sort((a, b) -> Double.compare(b.rank, a.rank));
+        for (Tunnel t : leaving) {
             if (wanted <= 0 || moveCredit < 1) {
                 break;
             }
-            if ((tun.units <= room || f > HOPELESS) && !tun.moving) {
-                tun.moving = true;
+            if (t.units <= room || shed) {
+                t.moving = true;
                 moveCredit--;
-                room -= tun.units;
-                wanted -= tun.units;
-                front.move(tun);
+                room -= t.units;
+                wanted -= t.units;
+                front.move(t);
             }
         }
     }
 
+    private double worth(Tunnel tun) {
+        return tun.kind.credit * (overShare(tun) ? set.excessCredit : 1) + 1e-6;
+    }
+
+    private double freed(Tunnel tun, int s) {
+        return tun.group != null && groups.get(s).get(tun.group) == 1 ? alone(s, tun.group) : 0;
+    }
+
     /** Servers of its group spared by a tunnel's move from here, as expected; below 0 it takes up more. */
     private double gathers(Tunnel tun, int s) {
         if (tun.group == null) {
@@ -651,7 +662,7 @@
                 taken = Math.min(taken, added(k, tun.group));
             }
         }
-        return (groups.get(s).get(tun.group) == 1 ? alone(s, tun.group) : 0) - taken;
+        return freed(tun, s) - taken;
     }
 
     // ---- Seeks
