--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -40,6 +40,8 @@
     private static final double FORGET = 6;
     /** A server that drops standing tunnels is full for this long: piled-up work must drain first. */
     private static final double REST = 2;
+    /** Setups out at once to begin with: a crowd that returns must not pile up on what stands behind setups. */
+    private static final double WINDOW = 8;
     private static final double TIMER = 0.1;
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
@@ -105,7 +107,7 @@
     private double listBackOff = 0.5;
     private boolean declining;
     private boolean shared;
-    private double window = 64;
+    private double window = WINDOW;
     private double windowCutAt;
     private int inFlight;
     private double moveCredit = 5;
@@ -300,7 +302,7 @@
             giveUp(tun);
             return;
         }
-        int s = shared && (tun.setups > 0 || inFlight >= window) ? -1 : pick(tun);
+        int s = shared && tun.setups > 0 || inFlight >= window ? -1 : pick(tun);
         if (s < 0) {
             giveUp(tun);
             return;
