--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -42,6 +42,8 @@
     private static final double REST = 2;
     /** Setups out at once to begin with: a crowd that returns must not pile up on what stands behind setups. */
     private static final double WINDOW = 8;
+    /** Mean loads that fill the smallest server, taken while this relay holds too few tunnels to learn it. */
+    private static final double SMALLEST = 25;
     private static final double TIMER = 0.1;
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
@@ -62,6 +64,7 @@
 
     // Figures of servers under a dense index.
     private final Map<String, Integer> index = new HashMap<>();
+    private final Map<String, Integer> holders = new HashMap<>();
     private int n;
     private int zones = 1;
     private String[] ep = new String[8];
@@ -69,6 +72,7 @@
     private int[] model = new int[8];
     private int[] cell = new int[8];
     private boolean[] running = new boolean[8];
+    private boolean[] listed = new boolean[8];
     private double[] weight = new double[8];
     private double[] startedAt = new double[8];
     private double[] load = new double[8];
@@ -136,6 +140,7 @@
         private final int profile;
         private final int customer;
         private final String group;
+        private final String key;
         private final double since;
         private final double deadline;
         private final Settings.Profile kind;
@@ -153,10 +158,11 @@
         private double rank;
         private long tried;
 
-        private Tunnel(long id, int profile, int customer, String group, double budget) {
+        private Tunnel(long id, int profile, int customer, String group, String key, double budget) {
             this.id = id;
             this.profile = profile;
             this.customer = Math.max(0, Math.min(customer, customerOpen.length - 1));
+            this.key = set.packetsPass ? key : null;
             this.group = set.groupsShareWork ? group : null;
             this.kind = set.profiles.get(profile);
             since = front.now();
@@ -247,17 +253,23 @@
     // ---- Tunnels
 
     public Tunnel take(long id, int profile, int customer, String group, String key, double budget, boolean midFlow) {
-        Tunnel tun = new Tunnel(id, profile, customer, group, budget);
+        Tunnel tun = new Tunnel(id, profile, customer, group, key, budget);
         double now = front.now();
         arrivals = arrivals * Math.exp(-(now - arrivalsAt) / 10) + 0.1;
         arrivalsAt = now;
-        place(tun);
+        Integer holder = midFlow && key != null ? holders.get(key) : null;
+        if (holder != null && listed[holder]) {
+            // Its packets go on where it stands, also while that server drains: elsewhere it would be reset.
+            send(tun, holder, tun.deadline - now - 2 * set.tick);
+        } else {
+            place(tun);
+        }
         return tun;
     }
 
     /** A tunnel that already stood on this server when this instance started. */
     public Tunnel standing(long id, int profile, int customer, String group, String key, String ep) {
-        Tunnel tun = new Tunnel(id, profile, customer, group, 0);
+        Tunnel tun = new Tunnel(id, profile, customer, group, key, 0);
         tun.done = true;
         Integer s = index.get(ep);
         if (s != null) {
@@ -275,6 +287,9 @@
         ownOpen++;
         customerOpen[tun.customer]++;
         held.get(s).add(tun);
+        if (tun.key != null) {
+            holders.put(tun.key, s);
+        }
         if (tun.group != null) {
             groups.get(s).merge(tun.group, 1, Integer::sum);
         }
@@ -288,6 +303,9 @@
         ownOpen--;
         customerOpen[tun.customer]--;
         held.get(s).remove(tun);
+        if (tun.key != null) {
+            holders.remove(tun.key, s);
+        }
         if (tun.group != null) {
             groups.get(s).merge(tun.group, -1, (a, b) -> a + b == 0 ? null : a + b);
         }
@@ -313,13 +331,17 @@
         if (!shared && goalLeft > 0) {
             timeout = Math.min(left, Math.max(goalLeft / 2, setupLag + 4 * setupLagSpread));
         }
+        send(tun, s, timeout);
+    }
+
+    private void send(Tunnel tun, int s, double timeout) {
         tun.setups++;
         tun.out = s;
         inFlight++;
-        tun.sentAt = now;
+        tun.sentAt = front.now();
         tun.tried |= 1L << (s & 63);
         later(s, step(s, tun));
-        if (cold(s, now)) {
+        if (cold(s, front.now())) {
             coldCredit[s] -= 1;
         }
         front.setup(tun, ep[s], timeout);
@@ -360,7 +382,8 @@
     /** The lawful ready server with the lowest factor after this tunnel; -1 when there is none with room. */
     private int pick(Tunnel tun) {
         double now = front.now();
-        long barred = tun.tried;
+        // A referenced tunnel that may have run may also go again to the same server, which knows its mark.
+        long barred = tun.mayHaveRun && tun.kind.kind == Settings.Kind.REFERENCED ? 0 : tun.tried;
         boolean anyReady = false;
         boolean anyRoom = false;
         for (int round = 0; round < n; round++) {
@@ -492,8 +515,8 @@
     /** How many mean loads fill this server now, learned from what servers hold at which load. */
     private double capacity(int s) {
         int m = model[s] & 63;
-        double warm = modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] : 40;
-        return Math.max(1, warm * warmth(s, front.now()));
+        double warm = modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] : 2 * SMALLEST;
+        return Math.max(SMALLEST, warm) * warmth(s, front.now());
     }
 
     private double warmth(int s, double now) {
@@ -539,7 +562,7 @@
         fade(s);
         good[s]++;
         workedAt[s] = front.now();
-        window = Math.min(64, window + 1 / window);
+        window = Math.max(window, Math.min(2 * inFlight >= window ? 64 : WINDOW, window + 1 / window));
         judge();
     }
 
@@ -757,12 +780,14 @@
             cell[s] = l.cell();
             weight[s] = l.weight() > 0 ? l.weight() : 1;
             running[s] = l.state() == Listed.State.RUNNING;
+            listed[s] = l.state() != Listed.State.GONE;
             if (l.startedAt() > startedAt[s] + 1e-3) {
                 restarted(s, l.startedAt());
             }
         }
         for (int s = 0; whole && s < n; s++) {
             running[s] &= named[s];
+            listed[s] &= named[s];
         }
         listBackOff = 0.5;
     }
@@ -792,6 +817,7 @@
             zone = Arrays.copyOf(zone, m);
             model = Arrays.copyOf(model, m);
             cell = Arrays.copyOf(cell, m);
+            listed = Arrays.copyOf(listed, m);
             running = Arrays.copyOf(running, m);
             weight = Arrays.copyOf(weight, m);
             startedAt = Arrays.copyOf(startedAt, m);
--- a/src/main/java/asterpulley/Settings.java
+++ b/src/main/java/asterpulley/Settings.java
@@ -39,4 +39,6 @@
     public double probeFee;
     public double excessCredit = 1;
     public boolean groupsShareWork;
+    /** Packets pass through, so that a tunnel may change relays while it stands. */
+    public boolean packetsPass;
 }
--- a/src/main/java/asterpulley/drill/Wire.java
+++ b/src/main/java/asterpulley/drill/Wire.java
@@ -121,11 +121,16 @@
                 default -> Listed.State.DRAINING;
             };
             servers.add(new Listed(text(e, "backend"), (int) number(e, "site", 0), (int) number(e, "shape", 0),
-                    (int) number(e, "cell", 0), state, number(e, "heft", 1), number(e, "cameUpMs", 0) / 1000));
+                    (int) number(e, "cell", 0), state, number(e, "heft", 1), started(e)));
         }
         return servers;
     }
 
+    private static double started(Map<String, Object> entry) {
+        double at = number(entry, "cameUpMs", 0) / 1000;
+        return at > 0 ? at : Double.NEGATIVE_INFINITY;
+    }
+
     static Outcome outcome(String result) {
         return switch (result) {
             case "Ok" -> Outcome.OK;
@@ -170,6 +175,7 @@
         s.listMustBeAsked = "subscribe".equals(in.get("registryMode"));
         s.tick = number(in, "tickMs", 1000 * s.tick) / 1000;
         s.excessCredit = number(in, "excessCredit", s.excessCredit);
+        s.packetsPass = "pass".equals(part(in, "familyInfo").get("mode"));
         s.groupsShareWork = flag(part(in, "familyInfo"), "groups");
         s.probesAllowed = flag(limits, "probes");
         s.retryAfterHeard = flag(limits, "retryAfter");
--- /dev/null
+++ b/src/test/java/asterpulley/Stage.java
@@ -0,0 +1,239 @@
+package asterpulley;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/** Plays one scenario: a front whose clock, servers and clients are told by lines of text; README names the notation. */
+final class Stage implements Front {
+    private record Due(double at, long order, Runnable what) {
+    }
+
+    private final Settings set = new Settings();
+    private final Map<String, Map<String, String>> servers = new LinkedHashMap<>();
+    private final Map<Long, Balance.Tunnel> tunnels = new HashMap<>();
+    private final Map<Long, String> last = new HashMap<>();
+    private final Map<Long, Integer> setups = new HashMap<>();
+    private final Map<String, Integer> sentTo = new HashMap<>();
+    private final List<String> log = new ArrayList<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>(
+            (a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private Balance balance;
+    private double now;
+    private long order;
+    private int watches;
+    private boolean opens;
+
+    Stage() {
+        set.probesAllowed = true;
+        set.mostSetups = 4;
+        set.coldTime = 10;
+        set.fallMultiple = 4;
+        set.retryAfterHeard = true;
+        set.longestRetryAfter = 1;
+    }
+
+    void line(String line) throws ReflectiveOperationException {
+        String[] w = line.trim().split("\\s+");
+        if (w[0].matches("[0-9.]+")) {
+            until(Double.parseDouble(w[0]));
+            String[] rest = new String[w.length - 1];
+            System.arraycopy(w, 1, rest, 0, rest.length);
+            event(rest, named(rest));
+        } else {
+            told(w, named(w));
+        }
+    }
+
+    private void told(String[] w, Map<String, String> by) throws ReflectiveOperationException {
+        switch (w[0]) {
+            case "set" -> {
+                for (Map.Entry<String, String> e : by.entrySet()) {
+                    var field = Settings.class.getField(e.getKey());
+                    field.set(set, field.getType() == boolean.class ? (Object) Boolean.valueOf(e.getValue())
+                            : field.getType() == int.class ? (Object) Integer.valueOf(e.getValue())
+                            : Double.valueOf(e.getValue()));
+                }
+            }
+            case "shares" -> {
+                for (int i = 1; i < w.length; i++) {
+                    set.shares.add(Double.valueOf(w[i]));
+                }
+            }
+            case "profile" -> {
+                Settings.Profile p = new Settings.Profile();
+                p.kind = Settings.Kind.valueOf(by.getOrDefault("kind", "repeatable").toUpperCase().replace('-', '_'));
+                p.reach = Settings.Reach.valueOf(by.getOrDefault("reach", "all").toUpperCase());
+                p.window = number(by, "window", 5);
+                p.setupGoal = number(by, "goal", 0.5);
+                p.clientTimeout = number(by, "timeout", 2);
+                set.profiles.add(p);
+            }
+            case "server" -> servers.computeIfAbsent(w[1], k -> new HashMap<>()).putAll(by);
+            case "setups" -> opens = w[1].equals("open");
+            case "expect" -> expect(w);
+            default -> throw new AssertionError("unknown word " + w[0]);
+        }
+    }
+
+    private void event(String[] w, Map<String, String> by) {
+        if (balance == null) {
+            balance = new Balance(set, 1, this);
+        }
+        switch (w[0]) {
+            case "list", "change" -> {
+                List<Listed> entries = new ArrayList<>();
+                for (int i = 1; i < w.length; i++) {
+                    Map<String, String> s = servers.get(w[i]);
+                    entries.add(new Listed(w[i], (int) number(s, "zone", 0), 0, (int) number(s, "cell", 0),
+                            Listed.State.valueOf(s.getOrDefault("state", "running").toUpperCase()), 1,
+                            number(s, "started", Double.NEGATIVE_INFINITY)));
+                }
+                balance.list(entries, w[0].equals("list"));
+            }
+            case "list-failed" -> balance.listFailed();
+            case "wait" -> {
+            }
+            case "take" -> {
+                for (long id = Long.parseLong(w[1]); id < Long.parseLong(w[1]) + number(by, "count", 1); id++) {
+                    tunnels.put(id, balance.take(id, (int) number(by, "profile", 0), (int) number(by, "customer", 0),
+                            by.get("group"), by.get("key"), number(by, "budget", 0), by.containsKey("midflow")));
+                }
+            }
+            case "standing" -> {
+                for (long id = Long.parseLong(w[1]); id < Long.parseLong(w[1]) + number(by, "count", 1); id++) {
+                    tunnels.put(id, balance.standing(id, 0, (int) number(by, "customer", 0), by.get("group"),
+                            by.get("key"), by.get("on")));
+                }
+            }
+            case "opened" -> tunnels.get(Long.parseLong(w[1])).opened(0, 0.02);
+            case "ended" -> {
+                last.remove(Long.parseLong(w[1]));
+                tunnels.get(Long.parseLong(w[1])).ended(0, Outcome.valueOf(w[2].toUpperCase()), 0.1, w.length > 3);
+            }
+            case "withdrawn" -> tunnels.get(Long.parseLong(w[1])).withdrawn();
+            default -> throw new AssertionError("unknown event " + w[0]);
+        }
+    }
+
+    private void expect(String[] w) {
+        switch (w[1]) {
+            case "log" -> check(log.stream().anyMatch(l -> l.contains(w[2])), log.toString());
+            case "watches" -> check(watches >= Integer.parseInt(w[2]), watches + " watches");
+            case "sent" -> {
+                int sent = sentTo.getOrDefault(w[2], 0);
+                int limit = Integer.parseInt(w[4]);
+                check(w[3].equals("most") ? sent <= limit : sent >= limit, "sent " + sentTo);
+            }
+            case "over" -> check(tunnels.get(Long.parseLong(w[2])).over(), "not over");
+            default -> {
+                String is = last.getOrDefault(Long.parseLong(w[2]), "nothing");
+                String wanted = String.join(" ", w[1], w.length > 3 ? w[3] : "").trim();
+                check(is.equals(wanted) || w.length == 3 && is.startsWith(wanted), "was " + is);
+            }
+        }
+    }
+
+    private void check(boolean holds, String is) {
+        if (!holds) {
+            throw new AssertionError(is + " at " + now + ", log " + log);
+        }
+    }
+
+    private void until(double time) {
+        while (!due.isEmpty() && due.peek().at <= time) {
+            Due d = due.poll();
+            now = d.at;
+            d.what.run();
+        }
+        now = time;
+    }
+
+    private void later(double after, Runnable what) {
+        due.add(new Due(now + after, order++, what));
+    }
+
+    private static Map<String, String> named(String[] w) {
+        Map<String, String> by = new LinkedHashMap<>();
+        for (String s : w) {
+            int at = s.indexOf('=');
+            if (at > 0) {
+                by.put(s.substring(0, at), s.substring(at + 1));
+            }
+        }
+        return by;
+    }
+
+    private static double number(Map<String, String> by, String name, double missing) {
+        return by.containsKey(name) ? Double.parseDouble(by.get(name)) : missing;
+    }
+
+    private void result(Balance.Tunnel tun, String what) {
+        // Exactly one final answer, whatever the scenario looks at.
+        check(!last.getOrDefault(tun.id, "").matches("decline|error"), what + " after a final answer to " + tun.id);
+        last.put(tun.id, what);
+    }
+
+    @Override
+    public double now() {
+        return now;
+    }
+
+    @Override
+    public void setup(Balance.Tunnel tun, String ep, double timeout) {
+        result(tun, "setup " + ep);
+        sentTo.merge(ep, 1, Integer::sum);
+        check(timeout > 0 && setups.merge(tun.id, 1, Integer::sum) <= set.mostSetups, "setups or time-out wrong");
+        if (opens) {
+            later(0.02, () -> tun.opened(0, 0.02));
+        }
+    }
+
+    @Override
+    public void decline(Balance.Tunnel tun, double retryAfter) {
+        result(tun, "decline");
+        check(!set.retryAfterHeard || retryAfter > 0, "no time to come back");
+    }
+
+    @Override
+    public void closeWithError(Balance.Tunnel tun) {
+        result(tun, "error");
+    }
+
+    @Override
+    public void move(Balance.Tunnel tun) {
+        last.put(tun.id, "move");
+        later(0.01, () -> tun.ended(0, Outcome.CANCELLED, 0, true));
+    }
+
+    @Override
+    public void probe(String ep) {
+        Map<String, String> s = servers.get(ep);
+        boolean silent = s.get("load").equals("silent");
+        later(silent ? 0.3 : 0.01, () -> {
+            Report report = new Report();
+            if (!silent) {
+                report.load = number(s, "load", 0);
+            }
+            balance.probed(ep, silent ? Outcome.TIMED_OUT : Outcome.OK, report);
+        });
+    }
+
+    @Override
+    public void watch() {
+        watches++;
+    }
+
+    @Override
+    public void wake(double after, long token) {
+        later(after, () -> balance.woke(token));
+    }
+
+    @Override
+    public void log(String line) {
+        log.add(line);
+    }
+}
