--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -35,7 +35,7 @@
     /** How much more that counts in the choice: it stays for a group's life, an uneven factor only for a tunnel's. */
     private static final double GROUP_PULL = 10;
     /** Part of the cold budget that is used: the rest covers chance and a wrong guess of capacity. */
-    private static final double COLD_CARE = 0.5;
+    private static final double COLD_CARE = 1.2;
     /** Evidence on a server's health halves in this time. */
     private static final double FORGET = 6;
     /** A server that drops standing tunnels is full for this long: piled-up work must drain first. */
