--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -34,8 +34,6 @@
     private static final double GROUP_COST = 2;
     /** How much more that counts in the choice: it stays for a group's life, an uneven factor only for a tunnel's. */
     private static final double GROUP_PULL = 10;
-    /** Part of the cold budget that is used: the rest covers chance and a wrong guess of capacity. */
-    private static final double COLD_CARE = 1.2;
     /** Evidence on a server's health halves in this time. */
     private static final double FORGET = 6;
     /** A server that drops standing tunnels is full for this long: piled-up work must drain first. */
@@ -533,7 +531,7 @@
         if (!cold(s, now)) {
             return true;
         }
-        double rate = COLD_CARE * set.fallMultiple * capacity(s) / set.coldTime / set.siblings;
+        double rate = set.fallMultiple * capacity(s) / set.coldTime / set.siblings;
         coldCredit[s] = Math.min(Math.max(1, rate * set.fallTime), coldCredit[s] + rate * (now - coldAt[s]));
         coldAt[s] = now;
         return coldCredit[s] >= 1;
