--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -42,7 +42,6 @@
     private static final double WINDOW = 8;
     /** Mean loads that fill the smallest server, taken while this relay holds too few tunnels to learn it. */
     private static final double SMALLEST = 25;
-    private static final double URGENT = 0.6;
     private static final double TIMER = 0.1;
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
@@ -639,9 +638,12 @@
             return;
         }
         double room = 0;
+        double widest = 0;
         for (int k = 0; k < n; k++) {
             if (k != s && ready(k) && !cold(k, now)) {
-                room += Math.max(0, EASED - factor(k)) * capacity(k) / set.siblings;
+                double free = Math.max(0, EASED - factor(k)) * capacity(k);
+                room += free / set.siblings;
+                widest = Math.max(widest, free);
             }
         }
         // A move must not split a group further, for that only adds load. Where nobody has room and no message is
@@ -657,7 +659,7 @@
             if (wanted <= 0 || moveCredit < 1) {
                 break;
             }
-            if (t.units <= room || shed) {
+            if (t.units <= Math.min(room, widest) || shed) {
                 t.moving = true;
                 moveCredit--;
                 room -= t.units;
@@ -700,7 +702,7 @@
         int s = at;
         double now = front.now();
         seeking[s] = false;
-        seekAt[s] = now + seekEvery(s) * (0.9 + 0.2 * random.nextDouble());
+        seekAt[s] = now + seekEvery() * (0.9 + 0.2 * random.nextDouble());
         if (outcome == Outcome.FULL) {
             full[s] = true;
             return;
@@ -708,7 +710,7 @@
         if (outcome != Outcome.OK) {
             silent(s);
             if (offline[s]) {
-                seekAt[s] = now + Math.min(SLOWEST_SEEK, seekEvery(s) * 2);
+                seekAt[s] = now + Math.min(SLOWEST_SEEK, seekEvery() * 2);
             }
             return;
         }
@@ -743,12 +745,10 @@
         }
     }
 
-    /** Steady seeks, as often as their fee allows; more often as a server nears full, where a stale report tips it. */
-    private double seekEvery(int s) {
+    /** Steady seeks, as often as their fee allows. */
+    private double seekEvery() {
         double rate = Math.max(0.2, arrivals);
-        double steady = Math.max(FASTEST_SEEK, Math.min(SLOWEST_SEEK, n * set.probeFee / (PROBE_SPEND * rate)));
-        double near = Math.max(0, Math.min(1, (factor(s) - 0.5 * FULL) / (0.5 * FULL)));
-        return Math.max(FASTEST_SEEK, steady * (1 - URGENT * near));
+        return Math.max(FASTEST_SEEK, Math.min(SLOWEST_SEEK, n * set.probeFee / (PROBE_SPEND * rate)));
     }
 
     public void woke(long token) {
