--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -46,7 +46,7 @@
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
     /** A factor above which standing tunnels are moved away, and the one that moves aim at, here and there. */
-    private static final double CROWDED = 0.9;
+    private static final double CROWDED = 0.95;
     private static final double EASED = 0.8;
     /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
     private static final double STAY = 1;
