--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -42,7 +42,6 @@
     private static final double WINDOW = 8;
     /** Mean loads that fill the smallest server, taken while this relay holds too few tunnels to learn it. */
     private static final double SMALLEST = 25;
-    private static final double BIAS = 0.1;
     private static final double TIMER = 0.1;
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
@@ -385,8 +384,6 @@
         long barred = tun.mayHaveRun && tun.kind.kind == Settings.Kind.REFERENCED ? 0 : tun.tried;
         boolean anyReady = false;
         boolean anyRoom = false;
-        double units = units(tun.profile, profileLoad[tun.profile]);
-        double limit = FULL + BIAS * Math.max(-1, Math.min(1, Math.log(tun.kind.credit / units / meanWorth())));
         for (int round = 0; round < n; round++) {
             int best = -1;
             double low = Double.MAX_VALUE;
@@ -401,7 +398,7 @@
                 }
                 anyRoom = true;
                 double f = factor(s) + (set.siblings - 1) * placed[s] + pull(s, tun);
-                if (f > limit) {
+                if (f > FULL) {
                     continue;
                 }
                 if ((barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
@@ -672,23 +669,12 @@
         }
     }
 
-    private double meanWorth() {
-        double credit = 0;
-        double load = 0;
-        for (int p = 0; p < profileLoad.length; p++) {
-            double seen = Math.max(0.01, profileSeen[p]);
-            credit += set.profiles.get(p).credit * seen;
-            load += units(p, profileLoad[p]) * seen;
-        }
-        return credit / load;
-    }
-
     private double worth(Tunnel tun) {
         return tun.kind.credit * (overShare(tun) ? set.excessCredit : 1) + 1e-6;
     }
 
     private double freed(Tunnel tun, int s) {
-        return tun.group != null && true ? alone(s, tun.group) / groups.get(s).get(tun.group) : 0;
+        return tun.group != null && groups.get(s).get(tun.group) == 1 ? alone(s, tun.group) : 0;
     }
 
     /** Servers of its group spared by a tunnel's move from here, as expected; below 0 it takes up more. */
