--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -314,7 +314,7 @@
     private void place(Tunnel tun) {
         double now = front.now();
         double left = tun.deadline - now - 2 * set.tick;
-        if (tun.setups >= set.mostSetups || left <= set.tick || tun.mayHaveRun && !repeatable(tun)) {
+        if (tun.setups >= set.mostSetups || left <= set.tick) {
             giveUp(tun);
             return;
         }
@@ -345,10 +345,6 @@
         front.setup(tun, ep[s], timeout);
     }
 
-    private boolean repeatable(Tunnel tun) {
-        return tun.kind.kind != Settings.Kind.ONCE_ONLY;
-    }
-
     /** No effect twice: what may have run goes again only to servers that know it, while they remember it. */
     private boolean lawful(Tunnel tun, int s) {
         if (!tun.mayHaveRun || tun.kind.kind == Settings.Kind.REPEATABLE) {
