A server whose messages are told to take long counts as full while it is told

Cause: the load report lags, the note on message times does not. Unused figures and the weight went; the full mode's log no longer flaps.

--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -38,6 +38,7 @@
     private static final double FORGET = 6;
     /** A server that drops standing tunnels is full for this long: piled-up work must drain first. */
     private static final double REST = 2;
+    private static final double SLOW_REST = 1.2;
     /** Setups out at once to begin with: a crowd that returns must not pile up on what stands behind setups. */
     private static final double WINDOW = 8;
     /** Mean loads that fill the smallest server, taken while this relay holds too few tunnels to learn it. */
@@ -71,10 +72,8 @@
     private int[] cell = new int[8];
     private boolean[] running = new boolean[8];
     private boolean[] listed = new boolean[8];
-    private double[] weight = new double[8];
     private double[] startedAt = new double[8];
     private double[] load = new double[8];
-    private double[] answeredAt = new double[8];
     private double[] extra = new double[8];
     private double[] placed = new double[8];
     private double[] own = new double[8];
@@ -99,7 +98,6 @@
     private final double[] profileSeen;
     private final double[] modelHeld = new double[64];
     private final double[] modelLoad = new double[64];
-    private double ownUnits;
     private int ownOpen;
     private final int[] customerOpen;
     private double setupLag = 0.02;
@@ -108,6 +106,7 @@
     private double arrivalsAt;
     private double listBackOff = 0.5;
     private boolean declining;
+    private double fullAt;
     private boolean shared;
     private double window = WINDOW;
     private double windowCutAt;
@@ -195,11 +194,14 @@
             profileLoad[profile] += (cores - profileLoad[profile]) / profileSeen[profile];
             double now = units(profile, cores);
             own[on] += now - units;
-            ownUnits += now - units;
             units = now;
         }
 
+        /** What a message takes at its server now, told only while it is long: work has piled up there. */
         public void delay(double message) {
+            if (on >= 0) {
+                restUntil[on] = Math.max(restUntil[on], front.now() + SLOW_REST);
+            }
         }
 
         public void ended(int setup, Outcome outcome, double lag, boolean last) {
@@ -258,7 +260,7 @@
         Integer holder = midFlow && key != null ? holders.get(key) : null;
         if (holder != null && listed[holder]) {
             // Its packets go on where it stands, also while that server drains: elsewhere it would be reset.
-            send(tun, holder, tun.deadline - now - 2 * set.tick);
+            send(tun, holder, Math.max(set.tick, tun.deadline - now - 2 * set.tick));
         } else {
             place(tun);
         }
@@ -281,7 +283,6 @@
         tun.openedAt = tun.setups == 0 ? Double.NEGATIVE_INFINITY : front.now();
         tun.units = units(tun.profile, profileLoad[tun.profile]);
         own[s] += tun.units;
-        ownUnits += tun.units;
         ownOpen++;
         customerOpen[tun.customer]++;
         held.get(s).add(tun);
@@ -297,7 +298,6 @@
         int s = tun.on;
         tun.on = -1;
         own[s] -= tun.units;
-        ownUnits -= tun.units;
         ownOpen--;
         customerOpen[tun.customer]--;
         held.get(s).remove(tun);
@@ -394,10 +394,7 @@
                 }
                 anyRoom = true;
                 double f = factor(s) + (set.siblings - 1) * placed[s] + pull(s, tun);
-                if (f > FULL) {
-                    continue;
-                }
-                if ((barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
+                if (f > FULL || (barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
                     continue;
                 }
                 f += step(s, tun) + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
@@ -418,17 +415,20 @@
             // A doubtful server is drawn by its chance of success, so that it is never quite forgotten.
             double chance = chance(best);
             if (chance > 0.8 || random.nextDouble() < chance) {
-                note(false, anyReady);
+                note(false);
                 return best;
             }
             barred |= 1L << (best & 63);
         }
-        note(anyReady && !anyRoom, anyReady);
+        note(anyReady && !anyRoom);
         return -1;
     }
 
-    private void note(boolean allFull, boolean anyReady) {
-        if (allFull != declining) {
+    /** Near full single verdicts alternate by the millisecond: the mode ends when none said full for a second. */
+    private void note(boolean allFull) {
+        double now = front.now();
+        fullAt = allFull ? now : fullAt;
+        if (allFull != declining && (allFull || now - fullAt > 1)) {
             declining = allFull;
             front.log((allFull ? "all full: declining, " : "room again, ") + n + " servers, own " + ownOpen);
         }
@@ -720,7 +720,6 @@
         }
         silence[s] = 0;
         full[s] = false;
-        answeredAt[s] = now;
         double seen = !Double.isNaN(report.load) ? report.load : report.busy;
         if (!Double.isNaN(seen)) {
             load[s] = seen;
@@ -775,7 +774,6 @@
             zones = Math.max(zones, l.zone() + 1);
             model[s] = l.model();
             cell[s] = l.cell();
-            weight[s] = l.weight() > 0 ? l.weight() : 1;
             running[s] = l.state() == Listed.State.RUNNING;
             listed[s] = l.state() != Listed.State.GONE;
             if (l.startedAt() > startedAt[s] + 1e-3) {
@@ -816,10 +814,8 @@
             cell = Arrays.copyOf(cell, m);
             listed = Arrays.copyOf(listed, m);
             running = Arrays.copyOf(running, m);
-            weight = Arrays.copyOf(weight, m);
             startedAt = Arrays.copyOf(startedAt, m);
             load = Arrays.copyOf(load, m);
-            answeredAt = Arrays.copyOf(answeredAt, m);
             extra = Arrays.copyOf(extra, m);
             placed = Arrays.copyOf(placed, m);
             own = Arrays.copyOf(own, m);
--- a/src/main/java/asterpulley/Listed.java
+++ b/src/main/java/asterpulley/Listed.java
@@ -1,6 +1,6 @@
 package asterpulley;
 
 /** A server as the list names it. */
-public record Listed(String ep, int zone, int model, int cell, State state, double weight, double startedAt) {
+public record Listed(String ep, int zone, int model, int cell, State state, double startedAt) {
     public enum State { RUNNING, DRAINING, GONE }
 }
--- a/src/main/java/asterpulley/drill/Wire.java
+++ b/src/main/java/asterpulley/drill/Wire.java
@@ -121,7 +121,7 @@
                 default -> Listed.State.DRAINING;
             };
             servers.add(new Listed(text(e, "backend"), (int) number(e, "site", 0), (int) number(e, "shape", 0),
-                    (int) number(e, "cell", 0), state, number(e, "heft", 1), started(e)));
+                    (int) number(e, "cell", 0), state, started(e)));
         }
         return servers;
     }
--- a/src/test/java/asterpulley/Stage.java
+++ b/src/test/java/asterpulley/Stage.java
@@ -89,7 +89,7 @@
                 for (int i = 1; i < w.length; i++) {
                     Map<String, String> s = servers.get(w[i]);
                     entries.add(new Listed(w[i], (int) number(s, "zone", 0), 0, (int) number(s, "cell", 0),
-                            Listed.State.valueOf(s.getOrDefault("state", "running").toUpperCase()), 1,
+                            Listed.State.valueOf(s.getOrDefault("state", "running").toUpperCase()),
                             number(s, "started", Double.NEGATIVE_INFINITY)));
                 }
                 balance.list(entries, w[0].equals("list"));
