--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -39,7 +39,6 @@
     /** A server that drops standing tunnels is full for this long: piled-up work must drain first. */
     private static final double REST = 2;
     private static final double SLOW_REST = 1.2;
-    private static final double SLOW_LOAD = 1;
     /** Setups out at once to begin with: a crowd that returns must not pile up on what stands behind setups. */
     private static final double WINDOW = 8;
     /** Mean loads that fill the smallest server, taken while this relay holds too few tunnels to learn it. */
@@ -84,7 +83,6 @@
     private boolean[] seeking = new boolean[8];
     private double[] seekAt = new double[8];
     private double[] restUntil = new double[8];
-    private double[] slowUntil = new double[8];
     private double[] good = new double[8];
     private double[] bad = new double[8];
     private double[] evidenceAt = new double[8];
@@ -203,7 +201,6 @@
         public void delay(double message) {
             if (on >= 0) {
                 restUntil[on] = Math.max(restUntil[on], front.now() + SLOW_REST);
-                slowUntil[on] = front.now() + SLOW_REST;
             }
         }
 
@@ -631,7 +628,7 @@
     /** Standing tunnels leave a server that is offline or crowded, as fast as the others have room for them. */
     private void relieve(int s) {
         double now = front.now();
-        double f = now < slowUntil[s] ? Math.max(SLOW_LOAD, factor(s)) : factor(s);
+        double f = factor(s);
         double wanted = offline[s] ? own[s] : f > CROWDED ? own[s] * (f - EASED) / f : 0;
         if (wanted <= 0 || held.get(s).isEmpty() || shared) {
             return;
@@ -827,7 +824,6 @@
             full = Arrays.copyOf(full, m);
             seeking = Arrays.copyOf(seeking, m);
             seekAt = Arrays.copyOf(seekAt, m);
-            slowUntil = Arrays.copyOf(slowUntil, m);
             restUntil = Arrays.copyOf(restUntil, m);
             good = Arrays.copyOf(good, m);
             bad = Arrays.copyOf(bad, m);
