--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -43,9 +43,6 @@
     private static final double WINDOW = 8;
     /** Mean loads that fill the smallest server, taken while this relay holds too few tunnels to learn it. */
     private static final double SMALLEST = 25;
-    private static final double GATHER = 0.7;
-    private static final double GATHER_STAY = 5;
-    private static final double GATHER_GAIN = 0.2;
     private static final double TIMER = 0.1;
     /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
     private static final double RECENT = 3;
@@ -676,25 +673,6 @@
         return tun.group != null && groups.get(s).get(tun.group) == 1 ? alone(s, tun.group) : 0;
     }
 
-    /** On a server nearing full, the last member of a group that others hold goes to them: its group's cost is saved. */
-    private void gather(int s) {
-        if (moveCredit < 5 || !ready(s) || shared || factor(s) < GATHER) {
-            return;
-        }
-        Tunnel best = null;
-        for (Tunnel t : held.get(s)) {
-            if (t.group != null && !t.moving && front.now() - t.openedAt > GATHER_STAY && groups.get(s).get(t.group) == 1
-                    && (best == null || t.units < best.units) && t.units < 2 && gathers(t, s) >= GATHER_GAIN) {
-                best = t;
-            }
-        }
-        if (best != null) {
-            best.moving = true;
-            moveCredit--;
-            front.move(best);
-        }
-    }
-
     /** Servers of its group spared by a tunnel's move from here, as expected; below 0 it takes up more. */
     private double gathers(Tunnel tun, int s) {
         if (tun.group == null) {
@@ -778,7 +756,6 @@
         moveCredit = Math.min(10, moveCredit + TIMER * MOVE_PACE * Math.max(0.5, arrivals));
         for (int s = 0; s < n && set.probesAllowed; s++) {
             relieve(s);
-            gather(s);
             if (running[s] && !seeking[s] && seekAt[s] <= now) {
                 seeking[s] = true;
                 front.probe(ep[s]);
