--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -10,50 +10,54 @@
 import java.util.Random;
 
 /**
- * Decides for one relay where each tunnel goes. The entry point is {@link #take}: it gives a handle on which the
- * front calls what happens later; lists, probe answers and timers come in beside it, and every result leaves
- * through the interface in Front.java. The ordinary path: the ready server with the lowest load factor takes the
- * tunnel; seek timers with a retry count decide who is offline; all full means decline. docs/design.md has the rest.
+ * Decides for one relay where each tunnel goes. The entry point is {@link #take}: it gives a handle on which
+ * the front calls what happens later; lists, probe answers and timers come in beside it, and every result
+ * leaves through the interface in Front.java. The ordinary path: the ready server with the lowest load factor
+ * takes the tunnel; seek timers with a retry count decide who is offline; all full means decline. When each
+ * exception to it acts, and why, stands in docs/design.md.
  */
 public final class Balance {
     /** Unanswered seeks and failed setups in a row that mark a server offline. */
     private static final int SILENT = 3;
-    /** A factor from which a server counts as full: past it each further load makes all its messages late. */
+    /** A factor from which a server is full: nearer capacity messages come late, for all its tunnels. */
     private static final double FULL = 0.8;
     /** A factor from which shares are held: within a burst's reach of full. */
     private static final double NEAR_FULL = 0.75;
-    /** Points of service that steady probes may cost. */
+    /** A factor above which standing tunnels are moved away, and the one that moves aim at. */
+    private static final double CROWDED = 0.95;
+    private static final double EASED = 0.8;
+    /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
+    private static final double STAY = 1;
+    /** How much of a server more a move may take up for its group, beyond what it frees. */
+    private static final double SPLIT = 0.5;
+    /** Moves may add this many times the usual rate of setups: what stands behind them has some room. */
+    private static final double MOVE_PACE = 6;
+    /** Points of service that steady probes may cost, and the bounds of what that gives. */
     private static final double PROBE_SPEND = 0.01;
     private static final double FASTEST_SEEK = 0.4;
     private static final double SLOWEST_SEEK = 3;
     /** Reports are refreshed and arrive late; a placement younger than this is not yet in them. */
-    private static final double REPORT_LAG = 1.0;
-    /** A crossing's fee is lost for the tunnel's whole life, as is what a factor this many times as high spoils. */
+    private static final double REPORT_LAG = 1;
+    /** A crossing's fee is lost all of a tunnel's life; this much more in the factor loses as much. */
     private static final double FEE_TO_FACTOR = 4;
     /** What a group costs a server that holds none of it, in mean loads: not told, of the order of a few. */
     private static final double GROUP_COST = 2;
-    /** How much more that counts in the choice: it stays for a group's life, an uneven factor only for a tunnel's. */
+    /** How much more that counts in the choice: it stays for a group's life and spreads to all servers. */
     private static final double GROUP_PULL = 10;
     /** Evidence on a server's health halves in this time. */
     private static final double FORGET = 6;
+    /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
+    private static final double RECENT = 3;
     /** A server that drops standing tunnels is full for this long: piled-up work must drain first. */
     private static final double REST = 2;
+    /** So is one whose messages are told to take long; that is told once a second. */
     private static final double SLOW_REST = 1.2;
-    /** Setups out at once to begin with: a crowd that returns must not pile up on what stands behind setups. */
+    /** Setups out at once to begin with: a returning crowd must not flood what stands behind setups. */
     private static final double WINDOW = 8;
-    /** Mean loads that fill the smallest server, taken while this relay holds too few tunnels to learn it. */
+    private static final double WIDEST_WINDOW = 64;
+    /** Mean loads that fill a small server, taken while this relay holds too few tunnels to learn it. */
     private static final double SMALLEST = 25;
     private static final double TIMER = 0.1;
-    /** Outcomes of setups are compared over this time to tell a shared cause from bad servers. */
-    private static final double RECENT = 3;
-    /** A factor above which standing tunnels are moved away, and the one that moves aim at, here and there. */
-    private static final double CROWDED = 0.95;
-    private static final double EASED = 0.8;
-    /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
-    private static final double STAY = 1;
-    private static final double SPLIT = 0.5;
-    /** Moves may add this many times the usual rate of setups: what stands behind setups was built for some times it. */
-    private static final double MOVE_PACE = 6;
     private static final long SEEK = 0;
     private static final long ASK_LIST = 1;
 
@@ -252,7 +256,8 @@
 
     // ---- Tunnels
 
-    public Tunnel take(long id, int profile, int customer, String group, String key, double budget, boolean midFlow) {
+    public Tunnel take(long id, int profile, int customer, String group, String key, double budget,
+            boolean midFlow) {
         Tunnel tun = new Tunnel(id, profile, customer, group, key, budget);
         double now = front.now();
         arrivals = arrivals * Math.exp(-(now - arrivalsAt) / 10) + 0.1;
@@ -424,7 +429,7 @@
         return -1;
     }
 
-    /** Near full single verdicts alternate by the millisecond: the mode ends when none said full for a second. */
+    /** Near full, verdicts alternate by the millisecond: the mode ends when none was full for a second. */
     private void note(boolean allFull) {
         double now = front.now();
         fullAt = allFull ? now : fullAt;
@@ -464,7 +469,7 @@
         return units / capacity(s);
     }
 
-    /** What a group's first member at a server costs beyond its own step: paid as long as any member stays. */
+    /** What a group's first member at a server costs beyond its own step, as long as any member stays. */
     private double pull(int s, Tunnel tun) {
         return tun.group == null ? 0 : GROUP_PULL * GROUP_COST * added(s, tun.group) / capacity(s);
     }
@@ -479,7 +484,7 @@
         return Math.min(1, Math.pow(0.25, (double) set.siblings / zones) + 0.35 * homeRank(s, group));
     }
 
-    /** The place of a server among its zone's in an order that all relays give this group, so that they meet there. */
+    /** A server's place among its zone's in an order that all relays give this group, so that they meet. */
     private int homeRank(int s, String group) {
         int rank = 0;
         int mine = home(s, group);
@@ -522,7 +527,7 @@
         return now - startedAt[s] < set.coldTime;
     }
 
-    /** Not pushed over: this relay keeps to its part of what a cold server can be sent; siblings do the same. */
+    /** Not pushed over: this relay keeps to its part of what a cold server can take; siblings do the same. */
     private boolean coldRoom(int s, double now) {
         if (!cold(s, now)) {
             return true;
@@ -556,7 +561,8 @@
         fade(s);
         good[s]++;
         workedAt[s] = front.now();
-        window = Math.max(window, Math.min(2 * inFlight >= window ? 64 : WINDOW, window + 1 / window));
+        double widest = 2 * inFlight >= window ? WIDEST_WINDOW : WINDOW;
+        window = Math.max(window, Math.min(widest, window + 1 / window));
         judge();
     }
 
@@ -612,7 +618,8 @@
         boolean was = shared;
         shared = failing >= 3 && failing >= 0.6 * seen;
         if (shared != was) {
-            front.log("shared cause " + (shared ? "suspected" : "over") + ": setups fail at " + failing + " of " + seen);
+            front.log("shared cause " + (shared ? "suspected" : "over")
+                    + ": setups fail at " + failing + " of " + seen);
         }
     }
 
@@ -625,7 +632,7 @@
         }
     }
 
-    /** Standing tunnels leave a server that is offline or crowded, as fast as the others have room for them. */
+    /** Standing tunnels leave a server that is offline or crowded, as fast as others have room for them. */
     private void relieve(int s) {
         double now = front.now();
         double f = factor(s);
@@ -642,13 +649,15 @@
                 widest = Math.max(widest, free);
             }
         }
-        // A move must not split a group further, for that only adds load. Where nobody has room and no message is
-        // in time, some are shed: what frees the most load for the least credit goes, traffic over its share first.
+        // A move must not split a group further, for that only adds load. Where nobody has room and no
+        // message is in time, some are shed: what frees most load for least credit, over its share first.
         boolean shed = room <= 0 && !offline[s];
         List<Tunnel> leaving = new ArrayList<>(held.get(s));
-        leaving.removeIf(t -> t.moving || !offline[s] && (now - t.openedAt < STAY || !shed && gathers(t, s) < -SPLIT));
+        leaving.removeIf(t -> t.moving
+                || !offline[s] && (now - t.openedAt < STAY || !shed && gathers(t, s) < -SPLIT));
         for (Tunnel t : leaving) {
-            t.rank = shed ? (t.units + GROUP_COST * freed(t, s)) / worth(t) : t.units + GROUP_COST * gathers(t, s);
+            t.rank = shed ? (t.units + GROUP_COST * freed(t, s)) / worth(t)
+                    : t.units + GROUP_COST * gathers(t, s);
         }
         leaving.sort((a, b) -> Double.compare(b.rank, a.rank));
         for (Tunnel t : leaving) {
@@ -732,7 +741,7 @@
                 }
             }
             if (!cold(s, now)) {
-                // Where reports do not tell what a server holds, the siblings are taken to hold as much there.
+                // Where reports do not tell what it holds, the siblings are taken to hold as much there.
                 int m = model[s] & 63;
                 modelHeld[m] = 0.97 * modelHeld[m] + (report.held >= 0 ? report.held : own[s] * set.siblings);
                 modelLoad[m] = 0.97 * modelLoad[m] + seen;
--- a/src/test/java/asterpulley/Stage.java
+++ b/src/test/java/asterpulley/Stage.java
@@ -114,6 +114,7 @@
                 last.remove(Long.parseLong(w[1]));
                 tunnels.get(Long.parseLong(w[1])).ended(0, Outcome.valueOf(w[2].toUpperCase()), 0.1, w.length > 3);
             }
+            case "slow" -> tunnels.get(Long.parseLong(w[1])).delay(0.4);
             case "withdrawn" -> tunnels.get(Long.parseLong(w[1])).withdrawn();
             default -> throw new AssertionError("unknown event " + w[0]);
         }
