--- a/src/test/java/asterpulley/DrillTest.java
+++ b/src/test/java/asterpulley/DrillTest.java
@@ -45,6 +45,18 @@
         assertEquals("", err);
     }
 
+    @Test
+    void whatAKilledInstanceHeldIsForgottenAlsoWhenItStartsAgainInTheSameBatch() throws IOException {
+        String again = START.substring(START.indexOf("{\"op\":\"Enlist\""));
+        String order = ORDER.formatted("0").strip();
+        String batch = order.substring(0, order.length() - 4) + ",{\"op\":\"Halt\"}," + again;
+        String late = "{\"momentMs\":1008,\"batch\":3,\"groups\":[{\"i\":0,\"input\":[{\"op\":\"Resolved\",\"xid\":5,"
+                + "\"hop\":0,\"backend\":\"10.0.0.1:1\",\"result\":\"TimedOut\",\"noMore\":false}]}]}\n";
+        assertEquals(0, drill(START + batch + late), err);
+        assertTrue(!out.contains("\"xid\""), out);
+        assertEquals(3, out.lines().count());
+    }
+
     @Test
     void malformedInputIsToldWithItsBatch() throws IOException {
         String batch = "{\"momentMs\":1004,\"batch\":2,\"groups\":[{\"i\":%s,\"input\":[{\"op\":\"%s\",\"mode\":\"F\","
