--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -70,32 +71,15 @@
     private final Map<String, Integer> holders = new HashMap<>();
     private int n;
     private int zones = 1;
-    private String[] ep = new String[8];
-    private int[] zone = new int[8];
-    private int[] model = new int[8];
-    private int[] cell = new int[8];
-    private boolean[] running = new boolean[8];
-    private boolean[] listed = new boolean[8];
-    private double[] startedAt = new double[8];
-    private double[] load = new double[8];
-    private double[] extra = new double[8];
-    private double[] placed = new double[8];
-    private double[] own = new double[8];
-    private int[] silence = new int[8];
-    private boolean[] offline = new boolean[8];
-    private boolean[] full = new boolean[8];
-    private boolean[] seeking = new boolean[8];
-    private double[] seekAt = new double[8];
-    private double[] restUntil = new double[8];
-    private double[] good = new double[8];
-    private double[] bad = new double[8];
-    private double[] evidenceAt = new double[8];
-    private double[] failedAt = new double[8];
-    private double[] workedAt = new double[8];
-    private double[] coldCredit = new double[8];
-    private double[] coldAt = new double[8];
+    private String[] ep = {};
+    private int[] zone = {}, model = {}, cell = {}, silence = {};
+    private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {};
+    private double[] load = {}, extra = {}, placed = {}, own = {};
+    private double[] startedAt = {}, seekAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
+    private double[] good = {}, bad = {}, evidenceAt = {}, coldCredit = {}, coldAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
     private final List<Map<String, Integer>> groups = new ArrayList<>();
+    private final Map<String, int[]> orders = new HashMap<>();
 
     // What was learned.
     private final double[] profileLoad;
@@ -157,7 +141,7 @@
         private double units;
         private double openedAt;
         private double rank;
-        private long tried;
+        private final BitSet tried = new BitSet();
 
         private Tunnel(long id, int profile, int customer, String group, String key, double budget) {
             this.id = id;
@@ -342,7 +326,7 @@
         tun.out = s;
         inFlight++;
         tun.sentAt = front.now();
-        tun.tried |= 1L << (s & 63);
+        tun.tried.set(s);
         later(s, step(s, tun));
         if (cold(s, front.now())) {
             coldCredit[s] -= 1;
@@ -378,57 +362,71 @@
         }
     }
 
-    /** The lawful ready server with the lowest factor after this tunnel; -1 when there is none with room. */
+    /** Where this tunnel goes; -1 when there is none with room. */
     private int pick(Tunnel tun) {
-        double now = front.now();
-        // A referenced tunnel that may have run may also go again to the same server, which knows its mark.
-        long barred = tun.mayHaveRun && tun.kind.kind == Settings.Kind.REFERENCED ? 0 : tun.tried;
-        boolean anyReady = false;
-        boolean anyRoom = false;
-        for (int round = 0; round < n; round++) {
-            int best = -1;
-            double low = Double.MAX_VALUE;
-            int ties = 0;
-            for (int s = 0; s < n; s++) {
-                if (!ready(s) || !lawful(tun, s)) {
-                    continue;
-                }
-                anyReady = true;
-                if (isFull(s)) {
-                    continue;
-                }
-                anyRoom = true;
-                double f = factor(s) + (set.siblings - 1) * placed[s] + pull(s, tun);
-                if (f > FULL || (barred & 1L << (s & 63)) != 0 || !coldRoom(s, now)) {
-                    continue;
-                }
-                f += step(s, tun) + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
-                if (f < low - 1e-9) {
-                    low = f;
-                    best = s;
-                    ties = 1;
-                } else if (f < low + 1e-9 && random.nextInt(++ties) == 0) {
-                    best = s;
-                }
-            }
-            if (best < 0) {
-                break;
-            }
-            if (overShare(tun) && factor(best) > NEAR_FULL) {
+        BitSet barred = barred(tun);
+        for (int s = best(tun, barred); s >= 0; s = best(tun, barred)) {
+            if (overShare(tun) && factor(s) > NEAR_FULL) {
                 return -1;
             }
             // A doubtful server is drawn by its chance of success, so that it is never quite forgotten.
-            double chance = chance(best);
+            double chance = chance(s);
             if (chance > 0.8 || random.nextDouble() < chance) {
                 note(false);
-                return best;
+                return s;
             }
-            barred |= 1L << (best & 63);
+            barred.set(s);
+        }
+        boolean anyReady = false;
+        boolean anyRoom = false;
+        for (int s = 0; s < n; s++) {
+            anyReady |= ready(s) && lawful(tun, s);
+            anyRoom |= ready(s) && lawful(tun, s) && !isFull(s);
         }
         note(anyReady && !anyRoom);
         return -1;
     }
 
+    /** A referenced tunnel that may have run may also go again to the same server, which knows its mark. */
+    private BitSet barred(Tunnel tun) {
+        boolean again = tun.mayHaveRun && tun.kind.kind == Settings.Kind.REFERENCED;
+        return again ? new BitSet() : (BitSet) tun.tried.clone();
+    }
+
+    /** The lawful ready server with the lowest factor after this tunnel, among the first of its group's order. */
+    private int best(Tunnel tun, BitSet barred) {
+        double now = front.now();
+        double units = units(tun.profile, profileLoad[tun.profile]);
+        int[] ranks = new int[zones];
+        int best = -1;
+        double low = Double.MAX_VALUE;
+        int ties = 0;
+        int[] order = order(tun.group);
+        for (int k = 0; k < order.length; k++) {
+            int s = order[k];
+            int rank = ready(s) ? ranks[zone[s]]++ : 0;
+            if (!ready(s) || isFull(s) || barred.get(s) || !lawful(tun, s)) {
+                continue;
+            }
+            double f = factor(s) + (set.siblings - 1) * placed[s];
+            boolean holds = tun.group == null || groups.get(s).containsKey(tun.group);
+            f += holds ? 0 : GROUP_PULL * GROUP_COST * alone(rank) / capacity(s);
+            if (f > FULL || !coldRoom(s, now)) {
+                continue;
+            }
+            f += (units + (holds ? 0 : GROUP_COST)) / capacity(s)
+                    + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
+            if (f < low - 1e-9) {
+                low = f;
+                best = s;
+                ties = 1;
+            } else if (f < low + 1e-9 && random.nextInt(++ties) == 0) {
+                best = s;
+            }
+        }
+        return best;
+    }
+
     /** Near full, verdicts alternate by the millisecond: the mode ends when none was full for a second. */
     private void note(boolean allFull) {
         double now = front.now();
@@ -469,35 +467,23 @@
         return units / capacity(s);
     }
 
-    /** What a group's first member at a server costs beyond its own step, as long as any member stays. */
-    private double pull(int s, Tunnel tun) {
-        return tun.group == null ? 0 : GROUP_PULL * GROUP_COST * added(s, tun.group) / capacity(s);
-    }
-
-    /** The chance that a member placed here makes this server pay for its group anew. */
-    private double added(int s, String group) {
-        return groups.get(s).containsKey(group) ? 0 : alone(s, group);
+    /** The chance that no sibling holds a group at the server of this rank in its zone's order for the group. */
+    private double alone(int rank) {
+        return Math.min(1, Math.pow(0.25, (double) set.siblings / zones) + 0.35 * rank);
     }
 
-    /** The chance that no sibling holds the group here: small at its home when many relays share a zone. */
-    private double alone(int s, String group) {
-        return Math.min(1, Math.pow(0.25, (double) set.siblings / zones) + 0.35 * homeRank(s, group));
-    }
-
-    /** A server's place among its zone's in an order that all relays give this group, so that they meet. */
-    private int homeRank(int s, String group) {
-        int rank = 0;
-        int mine = home(s, group);
-        for (int k = 0; k < n; k++) {
-            rank += k != s && zone[k] == zone[s] && ready(k) && home(k, group) < mine ? 1 : 0;
-        }
-        return rank;
-    }
-
-    private int home(int s, String group) {
-        int h = (ep[s].hashCode() * 31 ^ group.hashCode()) * 0x9E3779B1;
-        h = (h ^ h >>> 15) * 0x85EBCA6B;
-        return h ^ h >>> 13;
+    /** All servers in an order that all relays give this group, so that they meet; kept, for it costs a sort. */
+    private int[] order(String group) {
+        return orders.computeIfAbsent(group == null ? "" : group, g -> {
+            long[] keys = new long[n];
+            for (int s = 0; s < n; s++) {
+                int h = (ep[s].hashCode() * 31 ^ g.hashCode()) * 0x9E3779B1;
+                h = (h ^ h >>> 15) * 0x85EBCA6B;
+                keys[s] = (long) (h ^ h >>> 13) << 32 | s;
+            }
+            Arrays.sort(keys);
+            return Arrays.stream(keys).mapToInt(k -> (int) k).toArray();
+        });
     }
 
     /** A load in mean loads. */
@@ -637,7 +623,7 @@
         double now = front.now();
         double f = factor(s);
         double wanted = offline[s] ? own[s] : f > CROWDED ? own[s] * (f - EASED) / f : 0;
-        if (wanted <= 0 || held.get(s).isEmpty() || shared) {
+        if (wanted <= 0 || moveCredit < 1 || held.get(s).isEmpty() || shared) {
             return;
         }
         double room = 0;
@@ -679,21 +665,30 @@
     }
 
     private double freed(Tunnel tun, int s) {
-        return tun.group != null && groups.get(s).get(tun.group) == 1 ? alone(s, tun.group) : 0;
+        return tun.group != null && groups.get(s).get(tun.group) == 1 ? met(tun, s, true) : 0;
     }
 
     /** Servers of its group spared by a tunnel's move from here, as expected; below 0 it takes up more. */
     private double gathers(Tunnel tun, int s) {
-        if (tun.group == null) {
-            return 0;
-        }
-        double taken = 1;
-        for (int k = 0; k < n; k++) {
-            if (k != s && zone[k] == zone[s] && ready(k) && !isFull(k)) {
-                taken = Math.min(taken, added(k, tun.group));
+        return tun.group == null ? 0 : freed(tun, s) - met(tun, s, false);
+    }
+
+    /** The chance that the group of a tunnel here is paid for by it alone: here, or else at its best next server. */
+    private double met(Tunnel tun, int s, boolean here) {
+        int rank = 0;
+        double least = 1;
+        for (int k : order(tun.group)) {
+            if (k == s && here) {
+                return alone(rank);
+            }
+            if (zone[k] == zone[s] && ready(k)) {
+                if (k != s && !isFull(k)) {
+                    least = Math.min(least, groups.get(k).containsKey(tun.group) ? 0 : alone(rank));
+                }
+                rank++;
             }
         }
-        return freed(tun, s) - taken;
+        return least;
     }
 
     // ---- Seeks
@@ -816,36 +811,35 @@
 
     private int add(String server) {
         if (n == ep.length) {
-            int m = 2 * n;
+            int m = Math.max(8, 2 * n);
             ep = Arrays.copyOf(ep, m);
             zone = Arrays.copyOf(zone, m);
             model = Arrays.copyOf(model, m);
             cell = Arrays.copyOf(cell, m);
-            listed = Arrays.copyOf(listed, m);
+            silence = Arrays.copyOf(silence, m);
             running = Arrays.copyOf(running, m);
-            startedAt = Arrays.copyOf(startedAt, m);
+            listed = Arrays.copyOf(listed, m);
+            offline = Arrays.copyOf(offline, m);
+            full = Arrays.copyOf(full, m);
+            seeking = Arrays.copyOf(seeking, m);
             load = Arrays.copyOf(load, m);
             extra = Arrays.copyOf(extra, m);
             placed = Arrays.copyOf(placed, m);
             own = Arrays.copyOf(own, m);
-            silence = Arrays.copyOf(silence, m);
-            offline = Arrays.copyOf(offline, m);
-            full = Arrays.copyOf(full, m);
-            seeking = Arrays.copyOf(seeking, m);
+            startedAt = Arrays.copyOf(startedAt, m);
             seekAt = Arrays.copyOf(seekAt, m);
             restUntil = Arrays.copyOf(restUntil, m);
+            failedAt = Arrays.copyOf(failedAt, m);
+            workedAt = Arrays.copyOf(workedAt, m);
             good = Arrays.copyOf(good, m);
             bad = Arrays.copyOf(bad, m);
             evidenceAt = Arrays.copyOf(evidenceAt, m);
-            failedAt = Arrays.copyOf(failedAt, m);
-            workedAt = Arrays.copyOf(workedAt, m);
             coldCredit = Arrays.copyOf(coldCredit, m);
             coldAt = Arrays.copyOf(coldAt, m);
         }
         ep[n] = server;
-        startedAt[n] = Double.NEGATIVE_INFINITY;
-        failedAt[n] = Double.NEGATIVE_INFINITY;
-        workedAt[n] = Double.NEGATIVE_INFINITY;
+        startedAt[n] = failedAt[n] = workedAt[n] = Double.NEGATIVE_INFINITY;
+        orders.clear();
         seekAt[n] = front.now() + FASTEST_SEEK * random.nextDouble();
         held.add(new ArrayList<>());
         groups.add(new HashMap<>());
