--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -37,6 +37,8 @@
     private static final double PROBE_SPEND = 0.01;
     private static final double FASTEST_SEEK = 0.4;
     private static final double SLOWEST_SEEK = 3;
+    /** The most seeks a second that a relay can spare the time for. */
+    private static final double MOST_SEEKS = 300;
     /** Reports are refreshed and arrive late; a placement younger than this is not yet in them. */
     private static final double REPORT_LAG = 1;
     /** A crossing's fee is lost all of a tunnel's life; this much more in the factor loses as much. */
@@ -59,6 +61,7 @@
     /** Mean loads that fill a small server, taken while this relay holds too few tunnels to learn it. */
     private static final double SMALLEST = 25;
     private static final double TIMER = 0.1;
+    private static final int[] NONE = {};
     private static final long SEEK = 0;
     private static final long ASK_LIST = 1;
 
@@ -71,6 +74,8 @@
     private final Map<String, Integer> holders = new HashMap<>();
     private int n;
     private int zones = 1;
+    private double strangers = 1;
+    private double largest = 2 * SMALLEST;
     private String[] ep = {};
     private int[] zone = {}, model = {}, cell = {}, silence = {};
     private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {};
@@ -78,7 +83,8 @@
     private double[] startedAt = {}, seekAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
     private double[] good = {}, bad = {}, evidenceAt = {}, coldCredit = {}, coldAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
-    private final List<Map<String, Integer>> groups = new ArrayList<>();
+    private final List<ArrayDeque<Placement>> recent = new ArrayList<>();
+    private final Map<String, int[]> groups = new HashMap<>();
     private final Map<String, int[]> orders = new HashMap<>();
 
     // What was learned.
@@ -100,9 +106,8 @@
     private double windowCutAt;
     private int inFlight;
     private double moveCredit = 5;
-    private final ArrayDeque<Placement> recent = new ArrayDeque<>();
 
-    private record Placement(int s, double at, double step) {
+    private record Placement(double at, double step) {
     }
 
     public Balance(Settings set, long seed, Front front) {
@@ -279,10 +284,15 @@
             holders.put(tun.key, s);
         }
         if (tun.group != null) {
-            groups.get(s).merge(tun.group, 1, Integer::sum);
+            holding(tun.group, s)[s]++;
         }
     }
 
+    /** How many of this group's tunnels this relay holds, by server, up to this server at the least. */
+    private int[] holding(String group, int s) {
+        return groups.merge(group, new int[s + 1], (a, b) -> a.length > s ? a : Arrays.copyOf(a, s + 1));
+    }
+
     private void fall(Tunnel tun) {
         int s = tun.on;
         tun.on = -1;
@@ -294,7 +304,7 @@
             holders.remove(tun.key, s);
         }
         if (tun.group != null) {
-            groups.get(s).merge(tun.group, -1, (a, b) -> a + b == 0 ? null : a + b);
+            groups.get(tun.group)[s]--;
         }
         later(s, -tun.units / capacity(s));
     }
@@ -379,6 +389,9 @@
         }
         boolean anyReady = false;
         boolean anyRoom = false;
+        if (declining && front.now() - fullAt < TIMER) {
+            return -1;
+        }
         for (int s = 0; s < n; s++) {
             anyReady |= ready(s) && lawful(tun, s);
             anyRoom |= ready(s) && lawful(tun, s) && !isFull(s);
@@ -397,20 +410,29 @@
     private int best(Tunnel tun, BitSet barred) {
         double now = front.now();
         double units = units(tun.profile, profileLoad[tun.profile]);
+        int[] in = tun.group == null ? null : groups.getOrDefault(tun.group, NONE);
         int[] ranks = new int[zones];
+        // Past this rank the pull alone is above full, on the largest servers too.
+        double last = (FULL * largest / (GROUP_PULL * GROUP_COST) - strangers) / 0.35;
         int best = -1;
         double low = Double.MAX_VALUE;
         int ties = 0;
         int[] order = order(tun.group);
         for (int k = 0; k < order.length; k++) {
             int s = order[k];
-            int rank = ready(s) ? ranks[zone[s]]++ : 0;
-            if (!ready(s) || isFull(s) || barred.get(s) || !lawful(tun, s)) {
+            if (!ready(s)) {
+                continue;
+            }
+            int rank = ranks[zone[s]]++;
+            boolean holds = in == null || s < in.length && in[s] > 0;
+            if (!holds && rank > last) {
                 continue;
             }
-            double f = factor(s) + (set.siblings - 1) * placed[s];
-            boolean holds = tun.group == null || groups.get(s).containsKey(tun.group);
-            f += holds ? 0 : GROUP_PULL * GROUP_COST * alone(rank) / capacity(s);
+            double f = holds ? 0 : GROUP_PULL * GROUP_COST * alone(rank) / capacity(s);
+            if (f > FULL || isFull(s) || barred.get(s) || !lawful(tun, s)) {
+                continue;
+            }
+            f += factor(s) + (set.siblings - 1) * placed[s];
             if (f > FULL || !coldRoom(s, now)) {
                 continue;
             }
@@ -461,7 +483,7 @@
 
     private double step(int s, Tunnel tun) {
         double units = units(tun.profile, profileLoad[tun.profile]);
-        if (tun.group != null && !groups.get(s).containsKey(tun.group)) {
+        if (tun.group != null && holding(tun.group, s)[s] == 0) {
             units += GROUP_COST;
         }
         return units / capacity(s);
@@ -469,7 +491,7 @@
 
     /** The chance that no sibling holds a group at the server of this rank in its zone's order for the group. */
     private double alone(int rank) {
-        return Math.min(1, Math.pow(0.25, (double) set.siblings / zones) + 0.35 * rank);
+        return Math.min(1, strangers + 0.35 * rank);
     }
 
     /** All servers in an order that all relays give this group, so that they meet; kept, for it costs a sort. */
@@ -527,14 +549,13 @@
     private void later(int s, double step) {
         extra[s] += step;
         placed[s] += Math.max(0, step);
-        recent.add(new Placement(s, front.now(), step));
+        recent.get(s).add(new Placement(front.now(), step));
     }
 
     private void unplace(int s) {
-        Iterator<Placement> back = recent.descendingIterator();
-        while (back.hasNext()) {
+        for (Iterator<Placement> back = recent.get(s).descendingIterator(); back.hasNext();) {
             Placement p = back.next();
-            if (p.s == s && p.step > 0) {
+            if (p.step > 0) {
                 extra[s] -= p.step;
                 placed[s] -= p.step;
                 back.remove();
@@ -665,7 +686,7 @@
     }
 
     private double freed(Tunnel tun, int s) {
-        return tun.group != null && groups.get(s).get(tun.group) == 1 ? met(tun, s, true) : 0;
+        return tun.group != null && groups.get(tun.group)[s] == 1 ? met(tun, s, true) : 0;
     }
 
     /** Servers of its group spared by a tunnel's move from here, as expected; below 0 it takes up more. */
@@ -677,13 +698,14 @@
     private double met(Tunnel tun, int s, boolean here) {
         int rank = 0;
         double least = 1;
+        int[] in = groups.get(tun.group);
         for (int k : order(tun.group)) {
             if (k == s && here) {
                 return alone(rank);
             }
             if (zone[k] == zone[s] && ready(k)) {
                 if (k != s && !isFull(k)) {
-                    least = Math.min(least, groups.get(k).containsKey(tun.group) ? 0 : alone(rank));
+                    least = Math.min(least, k < in.length && in[k] > 0 ? 0 : alone(rank));
                 }
                 rank++;
             }
@@ -727,19 +749,17 @@
         double seen = !Double.isNaN(report.load) ? report.load : report.busy;
         if (!Double.isNaN(seen)) {
             load[s] = seen;
-            for (Iterator<Placement> i = recent.iterator(); i.hasNext();) {
-                Placement p = i.next();
-                if (p.s == s && p.at < now - REPORT_LAG) {
-                    extra[s] -= p.step;
-                    placed[s] -= Math.max(0, p.step);
-                    i.remove();
-                }
+            while (!recent.get(s).isEmpty() && recent.get(s).peek().at < now - REPORT_LAG) {
+                Placement p = recent.get(s).poll();
+                extra[s] -= p.step;
+                placed[s] -= Math.max(0, p.step);
             }
             if (!cold(s, now)) {
                 // Where reports do not tell what it holds, the siblings are taken to hold as much there.
                 int m = model[s] & 63;
                 modelHeld[m] = 0.97 * modelHeld[m] + (report.held >= 0 ? report.held : own[s] * set.siblings);
                 modelLoad[m] = 0.97 * modelLoad[m] + seen;
+                largest = Math.max(largest, capacity(s));
             }
         }
     }
@@ -747,7 +767,8 @@
     /** Steady seeks, as often as their fee allows. */
     private double seekEvery() {
         double rate = Math.max(0.2, arrivals);
-        return Math.max(FASTEST_SEEK, Math.min(SLOWEST_SEEK, n * set.probeFee / (PROBE_SPEND * rate)));
+        return Math.max(Math.max(FASTEST_SEEK, n / MOST_SEEKS),
+                Math.min(SLOWEST_SEEK, n * set.probeFee / (PROBE_SPEND * rate)));
     }
 
     public void woke(long token) {
@@ -776,6 +797,7 @@
             named[s] = true;
             zone[s] = l.zone();
             zones = Math.max(zones, l.zone() + 1);
+            strangers = Math.pow(0.25, (double) set.siblings / zones);
             model[s] = l.model();
             cell[s] = l.cell();
             running[s] = l.state() == Listed.State.RUNNING;
@@ -842,7 +864,7 @@
         orders.clear();
         seekAt[n] = front.now() + FASTEST_SEEK * random.nextDouble();
         held.add(new ArrayList<>());
-        groups.add(new HashMap<>());
+        recent.add(new ArrayDeque<>());
         return n++;
     }
 }
