--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -23,11 +23,8 @@
     private static final double FULL = 0.8;
     /** A factor from which shares are held: within a burst's reach of full. */
     private static final double NEAR_FULL = 0.75;
-    /** A factor above which standing tunnels are moved away, and the one that moves aim at. */
+    /** A factor above which standing tunnels are moved away, until it is full at most. */
     private static final double CROWDED = 0.95;
-    private static final double EASED = 0.8;
-    /** A tunnel stays this long before it is moved for load: a move costs about a second of its service. */
-    private static final double STAY = 1;
     /** Moves may add this many times the usual rate of setups: what stands behind them has some room. */
     private static final double MOVE_PACE = 6;
     /** Points of service that steady probes may cost, and the bounds of what that gives. */
@@ -64,6 +61,8 @@
     private static final double WIDEST_WINDOW = 64;
     /** Mean loads that fill a small server, taken while this relay holds too few tunnels to learn it. */
     private static final double SMALLEST = 25;
+    /** Own tunnels at which what they teach of that weighs as much as the figure taken. */
+    private static final double FEW = 10;
     private static final double TIMER = 0.1;
     private static final int[] NONE = {};
     private static final long SEEK = 0;
@@ -98,7 +97,7 @@
     private double setupLag = 0.02, setupLagSpread = 0.02;
     private double arrivals = 1, arrivalsAt;
     private double listBackOff = 0.5;
-    private boolean declining, shared;
+    private boolean declining, shared, heldTold;
     private double window = WINDOW, windowCutAt, fullAt;
     private int inFlight;
     private double moveCredit = 5;
@@ -260,6 +259,7 @@
         ownOpen++;
         customerOpen[tun.customer]++;
         held.get(s).add(tun);
+        seekAt[s] = Math.min(seekAt[s], seenAt[s] + SLOWEST_SEEK);
         if (tun.key != null) {
             holders.put(tun.key, s);
         }
@@ -547,8 +547,9 @@
     /** How many mean loads fill this server now, learned from what servers hold at which load. */
     private double capacity(int s) {
         int m = model[s] & 63;
-        double warm = modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] : 2 * SMALLEST;
-        return Math.max(SMALLEST, warm) * warmth(s, front.now());
+        double trust = heldTold ? 1 : ownOpen / (ownOpen + FEW);
+        double learned = modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] : 2 * SMALLEST;
+        return Math.max(SMALLEST, trust * learned + (1 - trust) * 2 * SMALLEST) * warmth(s, front.now());
     }
 
     private double warmth(int s, double now) {
@@ -647,14 +648,14 @@
     private void relieve(int s) {
         double now = front.now();
         double f = factor(s);
-        double wanted = offline[s] ? own[s] : f > CROWDED ? own[s] * (f - EASED) / f : 0;
+        double wanted = offline[s] ? own[s] : f > CROWDED ? own[s] * (f - FULL) / f : 0;
         if (wanted <= 0 || moveCredit < 1 || eased[s] || held.get(s).isEmpty() || shared) {
             return;
         }
         double room = 0, widest = 0;
         for (int k = 0; k < n; k++) {
             if (k != s && ready(k) && !cold(k, now)) {
-                double free = Math.max(0, EASED - factor(k)) * capacity(k);
+                double free = Math.max(0, FULL - factor(k)) * capacity(k);
                 room += free / set.siblings;
                 widest = Math.max(widest, free);
             }
@@ -662,7 +663,7 @@
         // What frees most load for least credit, over its share first; some are shed where nobody has room.
         boolean shed = room <= 0 && !offline[s];
         List<Tunnel> leaving = new ArrayList<>(held.get(s));
-        leaving.removeIf(t -> t.moving || !offline[s] && now - t.openedAt < STAY);
+        leaving.removeIf(t -> t.moving || !offline[s] && now - t.openedAt < REPORT_LAG);
         leaving.sort((a, b) -> Double.compare(b.units / worth(b), a.units / worth(a)));
         for (Tunnel t : leaving) {
             if (moveCredit < 1) {
@@ -736,6 +737,7 @@
                 placed[s] -= Math.max(0, p.step);
             }
             if (!cold(s, now)) {
+                heldTold |= report.held >= 0;
                 learn(model[s], report.held, seen);
             }
         }
@@ -866,7 +868,8 @@
         ep[n] = server;
         startedAt[n] = failedAt[n] = workedAt[n] = seenAt[n] = Double.NEGATIVE_INFINITY;
         orders.clear();
-        seekAt[n] = front.now() + FASTEST_SEEK * random.nextDouble();
+        // A start does not seek a large fleet all at once: what its first tunnels need is sought for them.
+        seekAt[n] = front.now() + Math.max(FASTEST_SEEK, n * set.probeFee / PROBE_SPEND) * random.nextDouble();
         held.add(new ArrayList<>());
         recent.add(new ArrayDeque<>());
         return n++;
