--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -548,8 +548,8 @@
     private double capacity(int s) {
         int m = model[s] & 63;
         double trust = heldTold ? 1 : ownOpen / (ownOpen + FEW);
-        double learned = modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] : 2 * SMALLEST;
-        return Math.max(SMALLEST, trust * learned + (1 - trust) * 2 * SMALLEST) * warmth(s, front.now());
+        double learned = modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] : SMALLEST;
+        return Math.max(SMALLEST, trust * learned + (1 - trust) * SMALLEST) * warmth(s, front.now());
     }
 
     private double warmth(int s, double now) {
@@ -869,7 +869,7 @@
         startedAt[n] = failedAt[n] = workedAt[n] = seenAt[n] = Double.NEGATIVE_INFINITY;
         orders.clear();
         // A start does not seek a large fleet all at once: what its first tunnels need is sought for them.
-        seekAt[n] = front.now() + Math.max(FASTEST_SEEK, n * set.probeFee / PROBE_SPEND) * random.nextDouble();
+        seekAt[n] = front.now() + random.nextDouble() * Math.max(FASTEST_SEEK, n * set.probeFee / PROBE_SPEND);
         held.add(new ArrayList<>());
         recent.add(new ArrayDeque<>());
         return n++;
