--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -661,7 +661,7 @@
             }
         }
         // What frees most load for least credit, over its share first; some are shed where nobody has room.
-        boolean shed = room <= 0 && !offline[s];
+        boolean shed = room * set.siblings < 1 && !offline[s];
         List<Tunnel> leaving = new ArrayList<>(held.get(s));
         leaving.removeIf(t -> t.moving || !offline[s] && now - t.openedAt < REPORT_LAG);
         leaving.sort((a, b) -> Double.compare(b.units / worth(b), a.units / worth(a)));
@@ -673,7 +673,7 @@
             if (random.nextDouble() * t.units >= wanted) {
                 break;
             }
-            if (t.units <= Math.min(room, widest) || shed) {
+            if (shed || t.units <= widest && random.nextDouble() * t.units < room) {
                 t.moving = true;
                 moveCredit--;
                 room -= t.units;
@@ -869,7 +869,7 @@
         startedAt[n] = failedAt[n] = workedAt[n] = seenAt[n] = Double.NEGATIVE_INFINITY;
         orders.clear();
         // A start does not seek a large fleet all at once: what its first tunnels need is sought for them.
-        seekAt[n] = front.now() + random.nextDouble() * Math.max(FASTEST_SEEK, n * set.probeFee / PROBE_SPEND);
+        seekAt[n] = front.now() + random.nextFloat() * Math.max(FASTEST_SEEK, n * set.probeFee / PROBE_SPEND);
         held.add(new ArrayList<>());
         recent.add(new ArrayDeque<>());
         return n++;
