--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -64,7 +64,6 @@
     /** Own tunnels at which what they teach of that weighs as much as the figure taken. */
     private static final double FEW = 10;
     private static final double TIMER = 0.1;
-    private static final int[] NONE = {};
     private static final long SEEK = 0;
     private static final long ASK_LIST = 1;
 
@@ -361,8 +360,7 @@
                 return -1;
             }
             // A doubtful server is drawn by its chance of success, so that it is never quite forgotten.
-            double chance = chance(s);
-            if (chance > 0.8 || random.nextDouble() < chance) {
+            if (chance(s) > 0.8 || random.nextDouble() < chance(s)) {
                 note(false);
                 return s;
             }
@@ -390,7 +388,7 @@
     private int best(Tunnel tun, BitSet barred) {
         double now = front.now();
         double units = units(tun.profile, profileLoad[tun.profile]);
-        int[] in = tun.group == null ? null : groups.getOrDefault(tun.group, NONE);
+        int[] in = tun.group == null ? null : groups.getOrDefault(tun.group, new int[0]);
         int[] ranks = new int[zones];
         // Past this rank the pull alone is above full, on the largest servers too.
         double last = (FULL * largest / (GROUP_PULL * GROUP_COST) - strangers) / 0.35;
@@ -736,7 +734,7 @@
                 extra[s] -= p.step;
                 placed[s] -= Math.max(0, p.step);
             }
-            if (!cold(s, now)) {
+            if (!cold(s, now) && running[s]) {
                 heldTold |= report.held >= 0;
                 learn(model[s], report.held, seen);
             }
@@ -869,7 +867,8 @@
         startedAt[n] = failedAt[n] = workedAt[n] = seenAt[n] = Double.NEGATIVE_INFINITY;
         orders.clear();
         // A start does not seek a large fleet all at once: what its first tunnels need is sought for them.
-        seekAt[n] = front.now() + random.nextFloat() * Math.max(FASTEST_SEEK, n * set.probeFee / PROBE_SPEND);
+        double spread = Math.max(FASTEST_SEEK, n * set.probeFee / PROBE_SPEND);
+        seekAt[n] = front.now() + spread * random.nextDouble();
         held.add(new ArrayList<>());
         recent.add(new ArrayDeque<>());
         return n++;
