--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -389,7 +389,7 @@
         double now = front.now();
         double units = units(tun.profile, profileLoad[tun.profile]);
         int[] in = tun.group == null ? null : groups.getOrDefault(tun.group, new int[0]);
-        double[] ranks = new double[zones];
+        int[] ranks = new int[zones];
         // Past this rank the pull alone is above full, on the largest servers too.
         double last = (FULL * largest / (GROUP_PULL * GROUP_COST) - strangers) / 0.35;
         int best = -1;
@@ -401,9 +401,7 @@
             if (!ready(s)) {
                 continue;
             }
-            // A cold server counts in the order for what it can do now: its group meets at the next one too.
-            double rank = ranks[zone[s]];
-            ranks[zone[s]] += warmth(s, now);
+            int rank = ranks[zone[s]]++;
             boolean holds = in == null || s < in.length && in[s] > 0;
             if (!holds && rank > last) {
                 continue;
@@ -515,7 +513,7 @@
     }
 
     /** The chance that no sibling holds a group at the server of this rank in its order for the zone. */
-    private double alone(double rank) {
+    private double alone(int rank) {
         return Math.min(1, strangers + 0.35 * rank);
     }
 
