--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -34,7 +34,7 @@
     /** Servers that this relay does not use are sought this much less often than those it does. */
     private static final double UNUSED = 8;
     /** An older report says too little to place by: the best few are sought before the tunnel goes. */
-    private static final double STALE = 4;
+    private static final double STALE = 2;
     private static final int SOUGHT = 3;
     /** The part of a setup goal that may go into waiting for their answers. */
     private static final double SEEK_WAIT = 0.4;
