--- /dev/null
+++ b/src/main/java/asterpulley/decode/Json.java
@@ -0,0 +1,120 @@
+package asterpulley.decode;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** JSON values read into plain maps and lists, and their fields taken with a plain message for what is malformed. */
+public final class Json {
+    /** The input breaks the wire's form. */
+    public static final class Malformed extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        public Malformed(String what) {
+            super(what);
+        }
+    }
+
+    private Json() {
+    }
+
+    public static Object value(JsonParser p) throws IOException {
+        JsonToken token = expect(p.currentToken());
+        switch (token) {
+            case START_OBJECT -> {
+                Map<String, Object> map = new LinkedHashMap<>();
+                while (expect(p.nextToken()) != JsonToken.END_OBJECT) {
+                    String name = p.currentName();
+                    p.nextToken();
+                    map.put(name, value(p));
+                }
+                return map;
+            }
+            case START_ARRAY -> {
+                List<Object> list = new ArrayList<>();
+                while (expect(p.nextToken()) != JsonToken.END_ARRAY) {
+                    list.add(value(p));
+                }
+                return list;
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
+                return p.getNumberValue();
+            }
+            case VALUE_STRING -> {
+                return p.getText();
+            }
+            default -> {
+                return token == JsonToken.VALUE_NULL ? null : (Object) p.getBooleanValue();
+            }
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    public static Map<String, Object> object(Object value, String what) {
+        if (value instanceof Map) {
+            return (Map<String, Object>) value;
+        }
+        throw new Malformed(what + " is not an object");
+    }
+
+    @SuppressWarnings("unchecked")
+    public static List<Object> list(Map<String, Object> from, String name) {
+        if (from.get(name) instanceof List<?> list) {
+            return (List<Object>) list;
+        }
+        throw new Malformed("field " + name + " is not a list");
+    }
+
+    public static long whole(Map<String, Object> from, String name) {
+        if (from.get(name) instanceof Number n) {
+            return n.longValue();
+        }
+        throw new Malformed("field " + name + " is not a number");
+    }
+
+    public static String text(Map<String, Object> from, String name) {
+        if (from.get(name) instanceof String s) {
+            return s;
+        }
+        throw new Malformed("field " + name + " is not a text");
+    }
+
+    /** A number that may be missing. */
+    public static double number(Map<String, Object> from, String name, double missing) {
+        Object v = from.get(name);
+        if (v instanceof Number n) {
+            return n.doubleValue();
+        }
+        if (v != null) {
+            throw new Malformed("field " + name + " is not a number");
+        }
+        return missing;
+    }
+
+    public static String textOrNull(Map<String, Object> from, String name) {
+        return from.get(name) == null ? null : text(from, name);
+    }
+
+    public static boolean flag(Map<String, Object> from, String name) {
+        return Boolean.TRUE.equals(from.get(name));
+    }
+
+    public static double seconds(Map<String, Object> from, String name) {
+        return number(from, name, 0) / 1000;
+    }
+
+    public static Map<String, Object> part(Map<String, Object> in, String name) {
+        return in.get(name) == null ? Map.of() : object(in.get(name), name);
+    }
+
+    private static JsonToken expect(JsonToken token) {
+        if (token == null) {
+            throw new Malformed("the input ends inside a value");
+        }
+        return token;
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/decode/SettingsDecoder.java
@@ -0,0 +1,75 @@
+package asterpulley.decode;
+
+import asterpulley.Report;
+import asterpulley.Settings;
+import java.util.List;
+import java.util.Map;
+
+/** The settings that every relay is told, under the platform's names, read once into what the module reads. */
+public final class SettingsDecoder {
+    private SettingsDecoder() {
+    }
+
+    public static Settings settings(Map<String, Object> in) {
+        Map<String, Object> limits = Json.part(in, "limits");
+        Map<String, Object> rules = Json.part(in, "rules");
+        Map<String, Object> fees = Json.part(in, "fees");
+        Settings s = new Settings();
+        for (Object o : Json.list(in, "profiles")) {
+            s.profiles.add(profile(Json.object(o, "a profile")));
+        }
+        if (in.get("tenants") instanceof List<?> tenants) {
+            for (Object t : tenants) {
+                s.shares.add(Json.number(Json.object(t, "a tenant"), "share", 1));
+            }
+        }
+        s.siblings = Math.max(1, (int) Json.number(in, "siblings", s.siblings));
+        s.zone = (int) Json.number(in, "myZone", s.zone);
+        s.listMustBeAsked = "subscribe".equals(in.get("registryMode"));
+        s.tick = Json.number(in, "tickMs", 1000 * s.tick) / 1000;
+        s.excessCredit = Json.number(in, "excessCredit", s.excessCredit);
+        s.packetsPass = "pass".equals(Json.part(in, "familyInfo").get("mode"));
+        s.groupsShareWork = Json.flag(Json.part(in, "familyInfo"), "groups");
+        s.probesAllowed = Json.flag(limits, "probes");
+        s.retryAfterHeard = Json.flag(limits, "retryAfter");
+        s.longestRetryAfter = Json.number(limits, "maxRetryAfterMs", 0) / 1000;
+        s.mostSetups = (int) Json.number(limits, "mostSetups", s.mostSetups);
+        s.askEvery = Json.number(rules, "askEveryMs", 1000 * s.askEvery) / 1000;
+        s.coldFrom = Json.number(rules, "coldFrom", s.coldFrom);
+        s.coldTime = Json.number(rules, "coldMs", 1000 * s.coldTime) / 1000;
+        s.fallMultiple = Json.number(rules, "fallMultiple", s.fallMultiple);
+        s.fallTime = Json.number(rules, "fallMs", 1000 * s.fallTime) / 1000;
+        s.crossingFee = Json.number(fees, "crossZone", 0);
+        s.probeFee = Json.number(fees, "probe", 0);
+        return s;
+    }
+
+    private static Settings.Profile profile(Map<String, Object> in) {
+        Settings.Profile p = new Settings.Profile();
+        p.setupGoal = Json.number(in, "setupGoalMs", 1000 * p.setupGoal) / 1000;
+        p.clientTimeout = Json.number(in, "clientTimeoutMs", 1000 * p.clientTimeout) / 1000;
+        p.credit = Json.number(in, "credit", p.credit);
+        p.window = Json.number(in, "windowMs", 0) / 1000;
+        p.kind = switch (String.valueOf(in.get("effect"))) {
+            case "read_like" -> Settings.Kind.REPEATABLE;
+            case "idempotency_key" -> Settings.Kind.REFERENCED;
+            default -> Settings.Kind.ONCE_ONLY;
+        };
+        p.reach = switch (String.valueOf(in.get("group"))) {
+            case "all" -> Settings.Reach.ALL;
+            case "zone" -> Settings.Reach.ZONE;
+            default -> Settings.Reach.CELL;
+        };
+        return p;
+    }
+
+    /** A load report by the names that the settings give its figures. */
+    public static Report report(Map<String, Object> figures) {
+        Report report = new Report();
+        report.load = Json.number(figures, "x0", Double.NaN);
+        report.busy = Json.number(figures, "busy", Double.NaN);
+        report.held = Json.number(figures, "rif", Double.NaN);
+        report.errors = Json.number(figures, "fail_rate", Double.NaN);
+        return report;
+    }
+}
--- a/src/main/java/asterpulley/drill/Drill.java
+++ b/src/main/java/asterpulley/drill/Drill.java
@@ -1,11 +1,12 @@
 package asterpulley.drill;
 
 import asterpulley.Listed;
+import asterpulley.decode.Json;
+import asterpulley.decode.SettingsDecoder;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -44,12 +45,12 @@
             out.setRootValueSeparator(null);
             drill = new Drill(out);
             while (parser.nextToken() != null) {
-                drill.batch(Wire.object(Wire.value(parser), "a batch"));
+                drill.batch(Json.object(Json.value(parser), "a batch"));
                 out.writeRaw('\n');
                 out.flush();
             }
             return 0;
-        } catch (JsonParseException | Wire.Malformed e) {
+        } catch (JsonParseException | Json.Malformed e) {
             String what = e instanceof JsonParseException p ? "not JSON: " + p.getOriginalMessage() : e.getMessage();
             String where = drill == null || drill.batch < 0 ? "before the first batch" : "batch " + drill.batch;
             stderr.println("asterpulley drill: " + where + ": " + what);
@@ -58,14 +59,14 @@
     }
 
     private void batch(Map<String, Object> in) throws IOException {
-        batch = Wire.whole(in, "batch");
-        double now = Wire.seconds(in, "momentMs");
+        batch = Json.whole(in, "batch");
+        double now = Json.seconds(in, "momentMs");
         Map<Long, Relay> acting = new LinkedHashMap<>();
-        for (Object g : Wire.list(in, "groups")) {
-            Map<String, Object> group = Wire.object(g, "a group");
-            long i = Wire.whole(group, "i");
-            for (Object e : Wire.list(group, "input")) {
-                event(i, now, Wire.object(e, "an event"));
+        for (Object g : Json.list(in, "groups")) {
+            Map<String, Object> group = Json.object(g, "a group");
+            long i = Json.whole(group, "i");
+            for (Object e : Json.list(group, "input")) {
+                event(i, now, Json.object(e, "an event"));
             }
             if (relays.containsKey(i)) {
                 acting.put(i, relays.get(i));
@@ -82,14 +83,14 @@
     }
 
     private void event(long i, double now, Map<String, Object> e) {
-        String op = Wire.text(e, "op");
+        String op = Json.text(e, "op");
         switch (op) {
             case "List" -> {
                 banks.set(bank(e), Wire.servers(e));
                 return;
             }
             case "Enlist" -> {
-                relays.put(i, new Relay(now, Wire.whole(e, "entropy"), Wire.settings(e)));
+                relays.put(i, new Relay(now, Json.whole(e, "entropy"), SettingsDecoder.settings(Json.object(e.get("profileData"), "profileData"))));
                 return;
             }
             case "Halt" -> {
@@ -101,31 +102,23 @@
         }
         Relay relay = relays.get(i);
         if (relay == null) {
-            throw new Wire.Malformed("event " + op + " for instance " + i + ", which is not started");
+            throw new Json.Malformed("event " + op + " for instance " + i + ", which is not started");
         }
         List<Listed> listed = null;
-        if (op.equals("Announce") && !Wire.text(e, "mode").equals("X")) {
+        if (op.equals("Announce") && !Json.text(e, "mode").equals("X")) {
             listed = banks.get(bank(e));
             if (listed == null) {
-                throw new Wire.Malformed("list number " + bank(e) + " was never declared");
+                throw new Json.Malformed("list number " + bank(e) + " was never declared");
             }
         }
         relay.event(now, op, e, listed);
     }
 
     private static int bank(Map<String, Object> e) {
-        long bank = Wire.whole(e, "bank");
+        long bank = Json.whole(e, "bank");
         if (bank < 0 || bank >= BANKS) {
-            throw new Wire.Malformed("list number " + bank + " is out of range");
+            throw new Json.Malformed("list number " + bank + " is out of range");
         }
         return (int) bank;
     }
-
-    /** Kept out of the parser so that a token left over after a value is told plainly. */
-    static JsonToken expect(JsonToken token) {
-        if (token == null) {
-            throw new Wire.Malformed("the input ends inside a batch");
-        }
-        return token;
-    }
 }
--- a/src/main/java/asterpulley/drill/Relay.java
+++ b/src/main/java/asterpulley/drill/Relay.java
@@ -4,6 +4,7 @@
 import asterpulley.Front;
 import asterpulley.Listed;
 import asterpulley.Settings;
+import asterpulley.decode.Json;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -38,7 +39,7 @@
         }
         try {
             dispatch(op, e, listed);
-        } catch (Wire.Malformed m) {
+        } catch (Json.Malformed m) {
             throw m;
         } catch (RuntimeException bug) {
             broken = true;
@@ -54,48 +55,48 @@
                 if (listed == null) {
                     balance.listFailed();
                 } else {
-                    balance.list(listed, !Wire.text(e, "mode").equals("D"));
+                    balance.list(listed, !Json.text(e, "mode").equals("D"));
                 }
             }
             case "Order" -> {
-                Balance.Tunnel tun = balance.take(Wire.whole(e, "xid"), profile(e), customer(e),
-                        Wire.textOrNull(e, "room"), Wire.textOrNull(e, "routeKey"),
-                        Wire.seconds(e, "timeBudgetMs"), Wire.flag(e, "midFlow"));
+                Balance.Tunnel tun = balance.take(Json.whole(e, "xid"), profile(e), customer(e),
+                        Json.textOrNull(e, "room"), Json.textOrNull(e, "routeKey"),
+                        Json.seconds(e, "timeBudgetMs"), Json.flag(e, "midFlow"));
                 tunnels.put(tun.id, tun);
                 forget(tun);
             }
             case "Existing" -> {
-                Balance.Tunnel tun = balance.standing(Wire.whole(e, "xid"), profile(e), customer(e),
-                        Wire.textOrNull(e, "room"), Wire.textOrNull(e, "routeKey"), Wire.text(e, "backend"));
+                Balance.Tunnel tun = balance.standing(Json.whole(e, "xid"), profile(e), customer(e),
+                        Json.textOrNull(e, "room"), Json.textOrNull(e, "routeKey"), Json.text(e, "backend"));
                 tunnels.put(tun.id, tun);
             }
             case "AckFirst", "Change", "Resolved", "Withdrawn" -> tunnel(op, e);
-            case "Pong" -> balance.probed(Wire.text(e, "backend"), Wire.outcome(Wire.text(e, "result")),
+            case "Pong" -> balance.probed(Json.text(e, "backend"), Wire.outcome(Json.text(e, "result")),
                     Wire.report(e));
-            case "Elapsed" -> balance.woke(Wire.whole(e, "ref"));
+            case "Elapsed" -> balance.woke(Json.whole(e, "ref"));
             case "Memo" -> {
             }
-            default -> throw new Wire.Malformed("unknown event " + op);
+            default -> throw new Json.Malformed("unknown event " + op);
         }
     }
 
     private void tunnel(String op, Map<String, Object> e) {
-        Balance.Tunnel tun = tunnels.get(Wire.whole(e, "xid"));
+        Balance.Tunnel tun = tunnels.get(Json.whole(e, "xid"));
         if (tun == null) {
             return;
         }
-        int n = (int) Wire.number(e, "hop", 0);
+        int n = (int) Json.number(e, "hop", 0);
         switch (op) {
-            case "AckFirst" -> tun.opened(n, Wire.seconds(e, "lagMs"));
+            case "AckFirst" -> tun.opened(n, Json.seconds(e, "lagMs"));
             case "Change" -> {
-                if (Wire.whole(e, "what") == 1) {
-                    tun.load(Wire.number(e, "value", 0) / 1e6);
-                } else if (Wire.whole(e, "what") == 2) {
-                    tun.delay(Wire.seconds(e, "value"));
+                if (Json.whole(e, "what") == 1) {
+                    tun.load(Json.number(e, "value", 0) / 1e6);
+                } else if (Json.whole(e, "what") == 2) {
+                    tun.delay(Json.seconds(e, "value"));
                 }
             }
-            case "Resolved" -> tun.ended(n, Wire.outcome(Wire.text(e, "result")), Wire.seconds(e, "lagMs"),
-                    Wire.flag(e, "noMore"));
+            case "Resolved" -> tun.ended(n, Wire.outcome(Json.text(e, "result")), Json.seconds(e, "lagMs"),
+                    Json.flag(e, "noMore"));
             default -> tun.withdrawn();
         }
         forget(tun);
@@ -108,11 +109,11 @@
     }
 
     private static int profile(Map<String, Object> e) {
-        return (int) Wire.number(e, "class", 0);
+        return (int) Json.number(e, "class", 0);
     }
 
     private static int customer(Map<String, Object> e) {
-        return (int) Wire.number(e, "account", 0);
+        return (int) Json.number(e, "account", 0);
     }
 
     void reply(long i, JsonGenerator out) throws IOException {
--- /dev/null
+++ b/src/main/java/asterpulley/net/Admit.java
@@ -0,0 +1,65 @@
+package asterpulley.net;
+
+import asterpulley.Settings;
+import java.util.Random;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * The second stage, admit: owns the relay's own room, which is sockets. A tunnel needs two, and some stay in
+ * reserve so that newcomers can always be accepted and told to come back. It must never judge backends: that is
+ * the module's.
+ */
+final class Admit extends BaseFilter {
+    private final Settings settings;
+    private final Book book;
+    private final Random random;
+    private final int room;
+    private final int reserve;
+    private boolean crowded;
+
+    /** {@code room}: the sockets that tunnels, probes and newcomers may take together. */
+    Admit(Settings settings, Book book, Random random, int room) {
+        this.settings = settings;
+        this.book = book;
+        this.random = random;
+        this.room = room;
+        this.reserve = Math.max(8, room / 16);
+    }
+
+    /** So many are waiting for an answer that even the reserve runs low: told at once, before a word is read. */
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+        if (book.sockets > room - reserve / 2) {
+            Leg leg = Leg.of(ctx.getConnection());
+            book.count("declined_no_sockets");
+            leg.line(Words.busy(comeBack()));
+            leg.linger();
+            return ctx.getStopAction();
+        }
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        if (ctx.getMessage() instanceof Passage passage) {
+            boolean full = book.sockets + 1 > room - reserve;
+            if (full != crowded) {
+                crowded = full;
+                book.log((full ? "no sockets left: declining" : "sockets again") + ", in use " + book.sockets
+                        + " of " + room);
+            }
+            if (full) {
+                book.count("declined_no_sockets");
+                book.answer(passage, Words.busy(comeBack()));
+                return ctx.getStopAction();
+            }
+        }
+        return ctx.getInvokeAction();
+    }
+
+    private double comeBack() {
+        return settings.retryAfterHeard ? settings.longestRetryAfter * (0.5 + 0.5 * random.nextDouble()) : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Book.java
@@ -0,0 +1,82 @@
+package asterpulley.net;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.logging.Logger;
+
+/**
+ * The last stage, book: owns the relay's counters and the record of every tunnel that it holds. What the other
+ * stages take in, send and answer is counted here, and a tunnel is let go here, once. It must never change what
+ * happens to a tunnel.
+ */
+final class Book {
+    private static final Logger LOG = Logger.getLogger(Book.class.getName());
+
+    private final Map<String, Long> counters = new TreeMap<>();
+    private final Map<Long, Passage> passages = new HashMap<>();
+    private long lastId;
+    int sockets;
+
+    void count(String what) {
+        counters.merge(what, 1L, Long::sum);
+    }
+
+    void add(String what, long amount) {
+        counters.merge(what, amount, Long::sum);
+    }
+
+    long counted(String what) {
+        return counters.getOrDefault(what, 0L);
+    }
+
+    /** Opens the record of a tunnel; its number is this relay's own, never a client's. */
+    long enter(Passage passage) {
+        passages.put(++lastId, passage);
+        return lastId;
+    }
+
+    Passage find(long id) {
+        return passages.get(id);
+    }
+
+    List<Passage> all() {
+        return List.copyOf(passages.values());
+    }
+
+    int held() {
+        return passages.size();
+    }
+
+    void leave(Passage passage) {
+        passages.remove(passage.id);
+    }
+
+    /** The final answer of a tunnel that is not opened; there is one, so a second is dropped. */
+    void answer(Passage passage, String line) {
+        if (passage == null || passage.answered) {
+            return;
+        }
+        passage.answered = true;
+        passage.over = true;
+        passage.client.line(line);
+        passage.client.linger();
+        if (passage.early != null) {
+            passage.early.tryDispose();
+            passage.early = null;
+        }
+        leave(passage);
+    }
+
+    void log(String line) {
+        LOG.info(line);
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder line = new StringBuilder("counters held=" + held() + " sockets=" + sockets);
+        counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
+        return line.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Dialer.java
@@ -0,0 +1,83 @@
+package asterpulley.net;
+
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * Owns connecting: to backends for setups and probes. A connection that does not come up in time is given up, and
+ * whoever dialled hears exactly one of connected and failed, the latter never before {@link #dial} has returned.
+ * It must never dial twice by itself.
+ */
+final class Dialer {
+    private final TCPNIOTransport transport;
+    private final Loop loop;
+    private final Book book;
+
+    Dialer(TCPNIOTransport transport, Loop loop, Book book) {
+        this.transport = transport;
+        this.loop = loop;
+        this.book = book;
+    }
+
+    /** Starts to connect; null when not even a socket could be had. */
+    Leg dial(String address, FilterChain chain, double timeout, Consumer<Leg> connected, Runnable failed) {
+        if (address == null) {
+            loop.after(0, failed);
+            return null;
+        }
+        Dial dial = new Dial(transport, connected, failed);
+        dial.setProcessor(chain);
+        dial.timer = loop.after(timeout, dial::giveUp);
+        dial.connect(Config.address(address), dial.result);
+        return dial.leg;
+    }
+
+    private final class Dial extends TCPNIOConnectorHandler {
+        private final Consumer<Leg> connected;
+        private final Runnable failed;
+        private Loop.Due timer;
+        private Leg leg;
+        private boolean over;
+        private final EmptyCompletionHandler<Connection> result = new EmptyCompletionHandler<>() {
+            @Override
+            public void completed(Connection connection) {
+                if (!over) {
+                    over = true;
+                    timer.cancel();
+                    connected.accept(leg);
+                }
+            }
+
+            @Override
+            public void failed(Throwable why) {
+                giveUp();
+            }
+        };
+
+        private Dial(TCPNIOTransport over, Consumer<Leg> connected, Runnable failed) {
+            super(over);
+            this.connected = connected;
+            this.failed = failed;
+        }
+
+        @Override
+        protected void preConfigure(Connection connection) {
+            leg = new Leg(connection, loop, book);
+        }
+
+        private void giveUp() {
+            if (!over) {
+                over = true;
+                timer.cancel();
+                if (leg != null) {
+                    leg.close();
+                }
+                loop.after(0, failed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Discovery.java
@@ -0,0 +1,194 @@
+package asterpulley.net;
+
+import asterpulley.Listed;
+import asterpulley.decode.Json;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * Owns the watch on the list of backends, and where each is reached. One call waits at discovery all the time, and
+ * the next goes out with the last answer, so that the watch never lapses. It must never keep a list that it was
+ * told is over, and never ask again after a failure before the module says so.
+ */
+final class Discovery extends BaseFilter {
+    private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
+    private static final String PATH = "/registry/instances";
+    /** How long a call may wait for news. Shorter costs discovery calls; longer leaves a dead call unnoticed. */
+    private static final double WAIT = 10;
+    /** A call that has no answer this long after its wait has none coming. */
+    private static final double LATE = 1.5;
+
+    private final Config config;
+    private final Loop loop;
+    private final Book book;
+    private final Route route;
+    private final TCPNIOTransport transport;
+    private final Map<String, String> dials = new HashMap<>();
+    private FilterChain chain;
+    private Connection<?> connection;
+    private long version;
+    private boolean watching, waiting, down;
+    private int call;
+
+    Discovery(Config config, Loop loop, Book book, Route route, TCPNIOTransport transport) {
+        this.config = config;
+        this.loop = loop;
+        this.book = book;
+        this.route = route;
+        this.transport = transport;
+        version = config.known.version();
+        dials.putAll(config.known.dials());
+    }
+
+    void through(FilterChain http) {
+        chain = http;
+    }
+
+    /** Where this relay reaches a backend; null when it was never told. */
+    String dial(String host) {
+        return dials.get(host);
+    }
+
+    void watch() {
+        if (!watching) {
+            watching = true;
+            call();
+        }
+    }
+
+    private void call() {
+        int n = ++call;
+        waiting = true;
+        book.count("list_calls");
+        loop.after(WAIT + LATE, () -> failed(n, "no answer"));
+        if (connection != null && connection.isOpen()) {
+            ask(n);
+            return;
+        }
+        TCPNIOConnectorHandler dial = TCPNIOConnectorHandler.builder(transport).processor(chain).build();
+        loop.after(LATE, () -> {
+            if (call == n && waiting && connection == null) {
+                failed(n, "no connection");
+            }
+        });
+        connection = null;
+        dial.connect(config.discovery, new EmptyCompletionHandler<Connection>() {
+            @Override
+            public void completed(Connection opened) {
+                if (call != n || !waiting) {
+                    opened.terminateSilently();
+                    return;
+                }
+                connection = opened;
+                book.sockets++;
+                ask(n);
+            }
+
+            @Override
+            public void failed(Throwable why) {
+                loop.after(0, () -> Discovery.this.failed(n, "no connection"));
+            }
+        });
+    }
+
+    private void ask(int n) {
+        String host = config.discovery.getHostString() + ":" + config.discovery.getPort();
+        HttpRequestPacket request = HttpRequestPacket.builder().method("GET").uri(PATH)
+                .query("index=" + version + "&wait=" + Math.round(WAIT * 1000)).protocol("HTTP/1.1")
+                .header("Host", host).build();
+        connection.write(request);
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        HttpContent content = ctx.getMessage();
+        if (!content.isLast()) {
+            return ctx.getStopAction(content);
+        }
+        int status = ((HttpResponsePacket) content.getHttpHeader()).getStatus();
+        String body = content.getContent().toStringContent(StandardCharsets.UTF_8);
+        content.recycle();
+        if (ctx.getConnection() != connection || !waiting) {
+            return ctx.getStopAction();
+        }
+        if (status != 200) {
+            failed(call, "status " + status);
+        } else {
+            answered(body);
+        }
+        return ctx.getStopAction();
+    }
+
+    private void answered(String body) {
+        Words.Fleet fleet;
+        try (JsonParser parser = new JsonFactory().createParser(body)) {
+            parser.nextToken();
+            fleet = config.words.fleet(Json.object(Json.value(parser), "the list"));
+        } catch (IOException | Json.Malformed e) {
+            failed(call, "malformed: " + e.getMessage());
+            return;
+        }
+        waiting = false;
+        version = fleet.version();
+        dials.putAll(fleet.dials());
+        for (Listed listed : fleet.servers()) {
+            if (listed.state() == Listed.State.GONE) {
+                dials.remove(listed.ep());
+            }
+        }
+        if (down) {
+            down = false;
+            LOG.info("discovery back, list " + version + ", backends " + dials.size());
+        }
+        call();
+        route.listed(fleet);
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        if (ctx.getConnection() == connection) {
+            connection = null;
+            book.sockets--;
+            if (waiting) {
+                failed(call, "connection broken");
+            }
+        }
+        return ctx.getInvokeAction();
+    }
+
+    private void failed(int n, String why) {
+        if (call != n || !waiting) {
+            return;
+        }
+        waiting = false;
+        watching = false;
+        book.count("list_failures");
+        if (!down) {
+            down = true;
+            LOG.info("discovery down (" + why + "), list " + version + " kept, backends " + dials.size());
+        }
+        if (connection != null) {
+            Connection<?> dead = connection;
+            connection = null;
+            book.sockets--;
+            dead.terminateSilently();
+        }
+        route.listFailed();
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Leg.java
@@ -0,0 +1,203 @@
+package asterpulley.net;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/**
+ * Owns one connection, a client's or a backend's: what is still to be written to it, which of its directions have
+ * ended, and how it is ended (in order, by a reset, or with a last word that the other side must still be able to
+ * read). It must never block, never keep more than a bounded amount for a slow reader, and be closed only once.
+ */
+final class Leg {
+    /** What waits for a slow reader before its sender is no longer read from. */
+    private static final int MOST_PENDING = 64 * 1024;
+    /** A peer that was told the last word is waited for this long, so that a reset does not destroy that word. */
+    private static final double LINGER = 1;
+    private static final Attribute<Leg> LEG = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("leg");
+
+    final Connection<SocketAddress> connection;
+    final Gather gather = new Gather();
+    final double since;
+    private final Loop loop;
+    private final Book book;
+    /** The tunnel that it belongs to, once there is one. */
+    Passage passage;
+    private int pending;
+    private boolean endWhenWritten, ended, closed, lingering;
+    private Leg feeder;
+    private Runnable whenWritten;
+
+    @SuppressWarnings("unchecked")
+    Leg(Connection<?> connection, Loop loop, Book book) {
+        this.connection = (Connection<SocketAddress>) connection;
+        this.loop = loop;
+        this.book = book;
+        since = loop.now();
+        book.sockets++;
+        LEG.set(connection, this);
+    }
+
+    static Leg of(Connection<?> connection) {
+        return LEG.get(connection);
+    }
+
+    boolean closed() {
+        return closed;
+    }
+
+    boolean lingering() {
+        return lingering;
+    }
+
+    void line(String line) {
+        MemoryManager<?> memory = connection.getMemoryManager();
+        Buffer buffer = Buffers.wrap(memory, (line + "\r\n").getBytes(StandardCharsets.UTF_8));
+        write(buffer, null);
+    }
+
+    /** Writes a line and tells when its last byte is written. */
+    void line(String line, Runnable written) {
+        whenWritten = written;
+        line(line);
+    }
+
+    /** Writes these bytes; when too many wait, their sender is not read from until they are gone. */
+    void write(Buffer bytes, Leg from) {
+        if (closed || ended || endWhenWritten) {
+            bytes.tryDispose();
+            return;
+        }
+        int size = bytes.remaining();
+        pending += size;
+        bytes.allowBufferDispose(true);
+        connection.write(bytes, new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
+            @Override
+            public void completed(WriteResult<Buffer, SocketAddress> result) {
+                written(size);
+            }
+
+            @Override
+            public void failed(Throwable why) {
+                pending -= size;
+            }
+        });
+        if (pending > MOST_PENDING && from != null && feeder == null && !closed) {
+            feeder = from;
+            from.reading(false);
+        }
+    }
+
+    private void written(int size) {
+        pending -= size;
+        if (pending > 0) {
+            return;
+        }
+        if (feeder != null) {
+            feeder.reading(true);
+            feeder = null;
+        }
+        if (endWhenWritten) {
+            endSending();
+        }
+        if (whenWritten != null) {
+            Runnable what = whenWritten;
+            whenWritten = null;
+            what.run();
+        }
+    }
+
+    private void reading(boolean on) {
+        if (closed) {
+            return;
+        }
+        try {
+            if (on) {
+                connection.enableIOEvent(IOEvent.READ);
+            } else {
+                connection.disableIOEvent(IOEvent.READ);
+            }
+        } catch (IOException e) {
+            reset();
+        }
+    }
+
+    /** Its incoming direction has ended: nothing more will be read. */
+    void deaf() {
+        reading(false);
+    }
+
+    /** Ends the outgoing direction once all is written; the other direction goes on. */
+    void endSending() {
+        if (closed || ended) {
+            return;
+        }
+        if (pending > 0) {
+            endWhenWritten = true;
+            return;
+        }
+        ended = true;
+        try {
+            channel().shutdownOutput();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    /** The last word is said: ends sending, reads on without heeding, and closes when the peer has, or soon. */
+    void linger() {
+        if (closed || lingering) {
+            return;
+        }
+        lingering = true;
+        reading(true);
+        endSending();
+        loop.after(LINGER, this::close);
+    }
+
+    void close() {
+        if (!closed) {
+            closed = true;
+            book.sockets--;
+            connection.terminateSilently();
+        }
+    }
+
+    /** The connection is gone without our doing; true the first time this is told. */
+    boolean lost() {
+        boolean first = !closed;
+        close();
+        return first;
+    }
+
+    /** Ends both directions at once so that the peer sees a broken connection. */
+    void reset() {
+        if (closed) {
+            return;
+        }
+        try {
+            channel().setOption(StandardSocketOptions.SO_LINGER, 0);
+        } catch (IOException e) {
+            // Already gone: closing is all that is left to do.
+            close();
+            return;
+        }
+        close();
+    }
+
+    private SocketChannel channel() {
+        return (SocketChannel) ((NIOConnection) connection).getChannel();
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Loop.java
@@ -0,0 +1,110 @@
+package asterpulley.net;
+
+import java.io.IOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.nio.DefaultSelectorHandler;
+import org.glassfish.grizzly.nio.SelectorRunner;
+
+/**
+ * Owns time: the relay's clock and the timers of its one selector thread. It selects no longer than until the
+ * next timer is due and runs what is due between two rounds of sockets, so that sockets, timers and decisions
+ * never meet on two threads. It must never block, and a timer that throws must never end the thread.
+ */
+final class Loop extends DefaultSelectorHandler {
+    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+
+    /** A timer that was set; a cancelled one is skipped when its time comes. */
+    static final class Due implements Comparable<Due> {
+        private final double at;
+        private final long order;
+        private Runnable what;
+
+        private Due(double at, long order, Runnable what) {
+            this.at = at;
+            this.order = order;
+            this.what = what;
+        }
+
+        void cancel() {
+            what = null;
+        }
+
+        @Override
+        public int compareTo(Due other) {
+            return at != other.at ? Double.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Due> timers = new PriorityQueue<>();
+    private final double wallAtStart = System.currentTimeMillis() / 1e3;
+    private final long nanosAtStart = System.nanoTime();
+    private final Queue<Runnable> handedIn = new ConcurrentLinkedQueue<>();
+    private volatile Selector selector;
+    private long order;
+
+    /** Unix seconds as at the start, moved on by the steady clock: start times of backends compare with it. */
+    double now() {
+        return wallAtStart + (System.nanoTime() - nanosAtStart) / 1e9;
+    }
+
+    /** Runs this after so many seconds; only from the loop's own thread, or before it starts. */
+    Due after(double seconds, Runnable what) {
+        Due due = new Due(now() + Math.max(0, seconds), order++, what);
+        timers.add(due);
+        return due;
+    }
+
+    /** Runs this on the loop's thread; the one call that other threads may make. */
+    void handIn(Runnable what) {
+        handedIn.add(what);
+        Selector asleep = selector;
+        if (asleep != null) {
+            asleep.wakeup();
+        }
+    }
+
+    @Override
+    public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
+        selector = runner.getSelector();
+        while (!timers.isEmpty() && timers.peek().what == null) {
+            timers.poll();
+        }
+        double wait = timers.isEmpty() ? 30 : timers.peek().at - now();
+        if (wait <= 0 || !handedIn.isEmpty() || !runner.getPostponedTasks().isEmpty()) {
+            selector.selectNow();
+        } else {
+            selector.select((long) Math.ceil(Math.min(30, wait) * 1000));
+        }
+        return selector.selectedKeys();
+    }
+
+    @Override
+    public void postSelect(SelectorRunner runner) {
+        for (Runnable what = handedIn.poll(); what != null; what = handedIn.poll()) {
+            run(what);
+        }
+        double now = now();
+        while (!timers.isEmpty() && timers.peek().at <= now) {
+            Due due = timers.poll();
+            if (due.what != null) {
+                run(due.what);
+            }
+        }
+    }
+
+    private static void run(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException bug) {
+            // One broken timer must not take all standing tunnels with it.
+            LOG.log(Level.SEVERE, "a timer failed", bug);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Probes.java
@@ -0,0 +1,147 @@
+package asterpulley.net;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * Owns the connections on which backends are asked for their load: one a backend, kept between questions because a
+ * new one costs the backend work and room. It must answer every question exactly once, and never judge by itself.
+ */
+final class Probes extends BaseFilter {
+    /** One backend's connection and the question that is out on it. */
+    private static final class Line {
+        private final String host;
+        private Leg leg;
+        private boolean asked, fresh;
+        private Failure.Reach reach;
+        private Loop.Due patience;
+
+        private Line(String host) {
+            this.host = host;
+        }
+    }
+
+    private final Config config;
+    private final Loop loop;
+    private final Book book;
+    private final Dialer dialer;
+    private final Discovery fleet;
+    private final Route route;
+    private final double patience;
+    private final Map<String, Line> lines = new HashMap<>();
+    private final Map<Leg, Line> byLeg = new HashMap<>();
+    private FilterChain chain;
+
+    Probes(Config config, Loop loop, Book book, Dialer dialer, Discovery fleet, Route route) {
+        this.config = config;
+        this.loop = loop;
+        this.book = book;
+        this.dialer = dialer;
+        this.fleet = fleet;
+        this.route = route;
+        // An answer that comes later than any tunnel's goal says that a tunnel would be too late there as well.
+        this.patience = config.settings.profiles.stream().mapToDouble(p -> p.setupGoal).min().orElse(0.5);
+    }
+
+    void through(FilterChain probes) {
+        chain = probes;
+    }
+
+    void ask(String host) {
+        Line line = lines.computeIfAbsent(host, Line::new);
+        if (line.asked) {
+            return;
+        }
+        book.count("probes");
+        line.asked = true;
+        line.patience = loop.after(patience, () -> failed(line, Failure.Cause.GIVEN_UP));
+        if (line.leg != null && !line.leg.closed()) {
+            line.fresh = false;
+            say(line);
+        } else {
+            dial(line);
+        }
+    }
+
+    private void dial(Line line) {
+        line.fresh = true;
+        line.reach = Failure.Reach.NOT_CONNECTED;
+        line.leg = dialer.dial(fleet.dial(line.host), chain, Math.min(patience, config.connectTimeout), leg -> {
+            line.leg = leg;
+            byLeg.put(leg, line);
+            if (line.asked) {
+                say(line);
+            }
+        }, () -> failed(line, Failure.Cause.BROKEN));
+    }
+
+    private void say(Line line) {
+        line.reach = Failure.Reach.SENT;
+        line.leg.line(Words.STATS);
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Leg leg = Leg.of(ctx.getConnection());
+        Line line = byLeg.get(leg);
+        if (line == null || !(ctx.getMessage() instanceof Buffer in)) {
+            broken(leg, line);
+            return ctx.getStopAction();
+        }
+        for (String answer = leg.gather.next(in); answer != null; answer = leg.gather.next(in)) {
+            if (line.asked) {
+                settle(line);
+                book.count("probes_answered");
+                route.probed(line.host, answer, null);
+            }
+        }
+        in.tryDispose();
+        return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        Leg leg = Leg.of(ctx.getConnection());
+        broken(leg, byLeg.get(leg));
+        return ctx.getStopAction();
+    }
+
+    private void broken(Leg leg, Line line) {
+        drop(leg);
+        if (line != null && line.leg == leg && line.asked) {
+            if (line.fresh) {
+                failed(line, Failure.Cause.BROKEN);
+            } else {
+                // It was closed as idle just when the question went out: that says nothing of the backend.
+                dial(line);
+            }
+        }
+    }
+
+    private void failed(Line line, Failure.Cause cause) {
+        if (!line.asked) {
+            return;
+        }
+        settle(line);
+        if (line.leg != null) {
+            drop(line.leg);
+        }
+        book.count("probes_" + cause.name().toLowerCase());
+        route.probed(line.host, null, new Failure(line.reach, cause));
+    }
+
+    private void settle(Line line) {
+        line.asked = false;
+        line.patience.cancel();
+    }
+
+    private void drop(Leg leg) {
+        byLeg.remove(leg);
+        leg.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Relay.java
@@ -0,0 +1,215 @@
+package asterpulley.net;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * The fifth stage, relay: owns a tunnel that stands. It passes bytes both ways unchanged and as they come, reads
+ * along for what the backend tells of the tunnel, ends each side as the other ended, and moves clients away. It
+ * must never change a byte, never speak to a client in the middle of a line, and never hold a line back.
+ */
+final class Relay extends BaseFilter {
+    /** A side that does not end after the other did holds sockets for nobody: after this both are closed. */
+    private static final double HALF_CLOSED = 5;
+    /** A client must not wait for ever for a silent backend: it is moved in time before the platform's bound. */
+    private static final double SILENT = 6;
+    private static final double SWEEP = 0.25;
+    /** A line that the backend does not finish can not be waited for any longer than it may be held back. */
+    private static final double UNFINISHED = 0.8;
+
+    private final Loop loop;
+    private final Book book;
+    private final Route route;
+    private final Send send;
+
+    Relay(Loop loop, Book book, Route route, Send send) {
+        this.loop = loop;
+        this.book = book;
+        this.route = route;
+        this.send = send;
+    }
+
+    /** Starts the watch over silent backends. */
+    void start() {
+        for (Passage passage : book.all()) {
+            if (passage.standing && passage.unansweredSince > 0 && loop.now() - passage.unansweredSince > SILENT) {
+                book.count("moved_silent");
+                move(passage);
+            }
+        }
+        loop.after(SWEEP, this::start);
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Leg leg = Leg.of(ctx.getConnection());
+        Passage passage = leg.passage;
+        Object message = ctx.getMessage();
+        boolean fromClient = passage.client == leg;
+        if (message instanceof SocketFilter.End end) {
+            end(passage, leg, end);
+        } else if (passage.over || !passage.standing && !fromClient) {
+            ((Buffer) message).tryDispose();
+        } else if (!passage.standing) {
+            early(passage, (Buffer) message);
+        } else if (fromClient) {
+            toBackend(passage, (Buffer) message);
+        } else {
+            toClient(passage, (Buffer) message);
+        }
+        return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        Leg leg = Leg.of(ctx.getConnection());
+        if (leg.passage != null) {
+            end(leg.passage, leg, SocketFilter.End.RESET);
+        }
+        return ctx.getStopAction();
+    }
+
+    /** A client may speak before its answer; what it says waits, a buffer at most, and is passed on behind it. */
+    private void early(Passage passage, Buffer bytes) {
+        if (passage.early != null) {
+            passage.early.tryDispose();
+            bytes.tryDispose();
+            book.count("malformed");
+            left(passage);
+            book.answer(passage, Words.ERR);
+            return;
+        }
+        passage.early = bytes;
+    }
+
+    private void toBackend(Passage passage, Buffer bytes) {
+        if (passage.unansweredSince == 0) {
+            passage.unansweredSince = loop.now();
+        }
+        book.add("bytes_to_backends", bytes.remaining());
+        passage.backend.write(bytes, passage.client);
+    }
+
+    private void toClient(Passage passage, Buffer bytes) {
+        int from = bytes.position();
+        Gather gather = passage.backend.gather;
+        for (String line = gather.next(bytes); line != null; line = gather.next(bytes)) {
+            heed(passage, line);
+        }
+        bytes.position(from);
+        book.add("bytes_to_clients", bytes.remaining());
+        passage.client.write(bytes, passage.backend);
+        if (passage.moving && gather.between()) {
+            moveNow(passage);
+        }
+    }
+
+    private void heed(Passage passage, String line) {
+        double cores = Words.load(line);
+        if (!Double.isNaN(cores)) {
+            route.load(passage, cores);
+            return;
+        }
+        Failure.Cause word = Words.cause(line);
+        if (word == Failure.Cause.BYE || word == Failure.Cause.MOVE) {
+            passage.farewell = word;
+        }
+        if (passage.unansweredSince > 0) {
+            double message = loop.now() - passage.unansweredSince;
+            passage.unansweredSince = 0;
+            book.count(message > 0.1 ? "lines_slow" : "lines_answered");
+        }
+    }
+
+    /** One side ended: so does the other, in the same way. */
+    private void end(Passage passage, Leg leg, SocketFilter.End end) {
+        boolean byClient = passage.client == leg;
+        if (!passage.standing) {
+            if (byClient) {
+                left(passage);
+            } else {
+                leg.close();
+            }
+            return;
+        }
+        Leg other = byClient ? passage.backend : passage.client;
+        Failure.Cause cause = byClient ? Failure.Cause.CLIENT_LEFT
+                : passage.farewell != null ? passage.farewell : Failure.Cause.BROKEN;
+        finish(passage, cause);
+        if (!byClient && passage.farewell != null) {
+            // A reset on a client's last line must not destroy the backend's last word to that client.
+            leg.close();
+            other.linger();
+        } else if (end == SocketFilter.End.RESET) {
+            leg.close();
+            other.reset();
+        } else {
+            passage.clientEnded |= byClient;
+            passage.backendEnded |= !byClient;
+            other.endSending();
+            if (passage.clientEnded && passage.backendEnded) {
+                leg.close();
+                other.close();
+            } else {
+                loop.after(HALF_CLOSED, () -> {
+                    leg.close();
+                    other.close();
+                });
+            }
+        }
+    }
+
+    /** The client left before its answer: one that only ended its own sending is still told. */
+    private void left(Passage passage) {
+        if (passage.over) {
+            passage.client.close();
+            return;
+        }
+        book.count("left_before_answer");
+        route.withdrawn(passage);
+        send.abandon(passage);
+        book.answer(passage, Words.ERR);
+    }
+
+    private void finish(Passage passage, Failure.Cause cause) {
+        if (!passage.over) {
+            passage.over = true;
+            book.count("ended_" + cause.name().toLowerCase());
+            route.ended(passage, passage.failure(cause));
+            book.leave(passage);
+        }
+    }
+
+    /** Sends the client elsewhere, as soon as no line is under way to it. */
+    void move(Passage passage) {
+        if (!passage.standing || passage.over || passage.moving) {
+            return;
+        }
+        passage.moving = true;
+        if (passage.backend.gather.between()) {
+            moveNow(passage);
+        } else {
+            loop.after(UNFINISHED, () -> {
+                if (!passage.over) {
+                    book.count("moved_unfinished");
+                    finish(passage, Failure.Cause.CLIENT_LEFT);
+                    passage.backend.close();
+                    passage.client.linger();
+                }
+            });
+        }
+    }
+
+    private void moveNow(Passage passage) {
+        if (passage.over) {
+            return;
+        }
+        book.count("moved");
+        passage.client.line(Words.MOVE);
+        finish(passage, Failure.Cause.CLIENT_LEFT);
+        passage.backend.close();
+        passage.client.linger();
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Route.java
@@ -0,0 +1,202 @@
+package asterpulley.net;
+
+import asterpulley.Balance;
+import asterpulley.Front;
+import java.util.ArrayDeque;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * The third stage, route: owns the decision module and is its front on sockets. Every call into the module goes
+ * through {@link #tell}, one after the other: what a decision sets off on a socket may fail at once, and that must
+ * never reach the module while it is still deciding. It must decide nothing itself.
+ */
+final class Route extends BaseFilter implements Front {
+    private static final Logger LOG = Logger.getLogger(Balance.class.getName());
+
+    private final Loop loop;
+    private final Book book;
+    private final ArrayDeque<Runnable> calls = new ArrayDeque<>();
+    private boolean deciding;
+    private Balance balance;
+    private Send send;
+    private Relay relay;
+    private Probes probes;
+    private Discovery discovery;
+
+    Route(Loop loop, Book book) {
+        this.loop = loop;
+        this.book = book;
+    }
+
+    /** Starts the module once all that it may call stands. */
+    void start(Config config, Send send, Relay relay, Probes probes, Discovery discovery) {
+        this.send = send;
+        this.relay = relay;
+        this.probes = probes;
+        this.discovery = discovery;
+        tell(() -> {
+            balance = new Balance(config.settings, config.seed, this);
+            balance.list(config.known.servers(), true);
+        });
+        if (!config.settings.listMustBeAsked) {
+            // The module asks only where it must; on sockets news always has to be asked for.
+            discovery.watch();
+        }
+    }
+
+    private void tell(Runnable call) {
+        calls.add(call);
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            while (!calls.isEmpty()) {
+                try {
+                    calls.poll().run();
+                } catch (RuntimeException bug) {
+                    // One call that fails must not end the relay and all that stands on it.
+                    book.count("module_failed");
+                    LOG.log(Level.SEVERE, "the module failed", bug);
+                }
+            }
+        } finally {
+            deciding = false;
+        }
+    }
+
+    // ---- Towards the module
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        if (!(ctx.getMessage() instanceof Passage passage)) {
+            return ctx.getInvokeAction();
+        }
+        passage.id = book.enter(passage);
+        if (passage.opening.at() != null) {
+            send.reopen(passage);
+        } else {
+            Words.Opening o = passage.opening;
+            double budget = Double.isNaN(o.patience()) ? 0 : Math.max(1e-3, o.patience());
+            tell(() -> passage.handle = balance.take(passage.id, o.profile(), o.customer(), o.group(), o.key(),
+                    budget, false));
+            if (passage.handle == null && !passage.answered) {
+                // The module failed on it: its client must still get its one answer.
+                book.answer(passage, Words.ERR);
+            }
+        }
+        return ctx.getStopAction();
+    }
+
+    void opened(Passage passage) {
+        Words.Opening o = passage.opening;
+        if (passage.handle == null) {
+            tell(() -> passage.handle = balance.standing(passage.id, o.profile(), o.customer(), o.group(), o.key(),
+                    passage.host));
+        } else {
+            int setup = passage.setups - 1;
+            double lag = loop.now() - passage.sentAt;
+            tell(() -> passage.handle.opened(setup, lag));
+        }
+    }
+
+    /** A setup, or what it opened, has ended. */
+    void ended(Passage passage, Failure failure) {
+        if (passage.handle != null || deciding) {
+            int setup = passage.setups - 1;
+            double lag = loop.now() - passage.sentAt;
+            boolean last = passage.answered;
+            tell(() -> passage.handle.ended(setup, failure.outcome(), lag, last));
+        }
+    }
+
+    void withdrawn(Passage passage) {
+        if (passage.handle != null || deciding) {
+            tell(() -> passage.handle.withdrawn());
+        }
+    }
+
+    void load(Passage passage, double cores) {
+        if (passage.handle != null) {
+            tell(() -> passage.handle.load(cores));
+        }
+    }
+
+    void delay(Passage passage, double message) {
+        if (passage.handle != null) {
+            tell(() -> passage.handle.delay(message));
+        }
+    }
+
+    void probed(String host, String line, Failure failure) {
+        tell(() -> balance.probed(host, line != null ? Words.probed(line) : failure.outcome(),
+                Words.report(line == null ? "" : line)));
+    }
+
+    void listed(Words.Fleet fleet) {
+        tell(() -> balance.list(fleet.servers(), fleet.whole()));
+    }
+
+    void listFailed() {
+        tell(() -> balance.listFailed());
+    }
+
+    // ---- From the module
+
+    @Override
+    public double now() {
+        return loop.now();
+    }
+
+    @Override
+    public void setup(Balance.Tunnel tun, String ep, double timeout) {
+        Passage passage = book.find(tun.id);
+        if (passage != null) {
+            send.setup(passage, ep, timeout);
+        }
+    }
+
+    @Override
+    public void decline(Balance.Tunnel tun, double retryAfter) {
+        book.count("declined");
+        book.answer(book.find(tun.id), Words.busy(retryAfter));
+    }
+
+    @Override
+    public void closeWithError(Balance.Tunnel tun) {
+        book.count("closed_with_error");
+        book.answer(book.find(tun.id), Words.ERR);
+    }
+
+    @Override
+    public void move(Balance.Tunnel tun) {
+        Passage passage = book.find(tun.id);
+        if (passage != null) {
+            relay.move(passage);
+        }
+    }
+
+    @Override
+    public void probe(String ep) {
+        probes.ask(ep);
+    }
+
+    @Override
+    public void watch() {
+        discovery.watch();
+    }
+
+    @Override
+    public void wake(double after, long token) {
+        loop.after(after, () -> tell(() -> balance.woke(token)));
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Send.java
@@ -0,0 +1,165 @@
+package asterpulley.net;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * The fourth stage, send: owns a setup from its connect to the backend's first word. It knows at every moment how
+ * far the setup has come, so that its end tells truly whether it may have run. It must never have two setups of a
+ * tunnel out, and never send one again by itself.
+ */
+final class Send extends BaseFilter {
+    /** Tunnels that stood before the relay started are tried for as long as the platform waits for them. */
+    private static final double REOPEN_FOR = 35;
+    private static final double REOPEN_EVERY = 0.5;
+    private static final double REOPEN_PATIENCE = 10;
+
+    private final Config config;
+    private final Loop loop;
+    private final Book book;
+    private final Dialer dialer;
+    private final Discovery fleet;
+    private final Route route;
+    private FilterChain chain;
+
+    Send(Config config, Loop loop, Book book, Dialer dialer, Discovery fleet, Route route) {
+        this.config = config;
+        this.loop = loop;
+        this.book = book;
+        this.dialer = dialer;
+        this.fleet = fleet;
+        this.route = route;
+    }
+
+    /** The chain that backends' connections pass; this stage is in it. */
+    void through(FilterChain backends) {
+        chain = backends;
+    }
+
+    void setup(Passage passage, String host, double timeout) {
+        int n = ++passage.setups;
+        passage.host = host;
+        passage.out = true;
+        passage.reach = Failure.Reach.NOT_CONNECTED;
+        passage.sentAt = loop.now();
+        passage.patience = loop.after(timeout, () -> failed(passage, n, Failure.Cause.GIVEN_UP));
+        book.count("setups");
+        passage.backend = dialer.dial(fleet.dial(host), chain, Math.min(config.connectTimeout, timeout),
+                leg -> connected(passage, n, leg, timeout), () -> failed(passage, n, Failure.Cause.BROKEN));
+    }
+
+    /** A tunnel that stood at this backend before the relay started: it goes there and nowhere else. */
+    void reopen(Passage passage) {
+        if (passage.over) {
+            return;
+        }
+        if (loop.now() - passage.takenAt > REOPEN_FOR) {
+            book.answer(passage, Words.ERR);
+            return;
+        }
+        book.count("reopenings");
+        setup(passage, passage.opening.at(), REOPEN_PATIENCE);
+    }
+
+    private void connected(Passage passage, int n, Leg leg, double timeout) {
+        if (passage.over || !passage.out || passage.setups != n) {
+            leg.close();
+            return;
+        }
+        passage.backend = leg;
+        leg.passage = passage;
+        passage.reach = Failure.Reach.PARTLY_WRITTEN;
+        leg.line(passage.opening.line(passage.sentAt + timeout - loop.now()), () -> {
+            if (passage.setups == n && passage.reach == Failure.Reach.PARTLY_WRITTEN) {
+                passage.reach = Failure.Reach.SENT;
+            }
+        });
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Leg leg = Leg.of(ctx.getConnection());
+        Passage passage = leg.passage;
+        if (passage == null || passage.standing && passage.backend == leg) {
+            return ctx.getInvokeAction();
+        }
+        if (!passage.out || passage.backend != leg) {
+            leg.close();
+            return ctx.getStopAction();
+        }
+        if (!(ctx.getMessage() instanceof Buffer in)) {
+            failed(passage, passage.setups, Failure.Cause.BROKEN);
+            return ctx.getStopAction();
+        }
+        String line = leg.gather.next(in);
+        if (line == null) {
+            in.tryDispose();
+            if (leg.gather.tooLong()) {
+                failed(passage, passage.setups, Failure.Cause.ERR);
+            }
+            return ctx.getStopAction();
+        }
+        if (!Words.isOpened(line)) {
+            in.tryDispose();
+            Failure.Cause cause = Words.cause(line);
+            failed(passage, passage.setups, cause == null || cause == Failure.Cause.BYE ? Failure.Cause.ERR : cause);
+            return ctx.getStopAction();
+        }
+        passage.out = false;
+        passage.patience.cancel();
+        passage.reach = Failure.Reach.OPENED;
+        passage.standing = true;
+        passage.answered = true;
+        book.count("opened");
+        passage.client.line(line);
+        if (passage.early != null) {
+            leg.write(passage.early, passage.client);
+            passage.early = null;
+        }
+        route.opened(passage);
+        if (in.hasRemaining()) {
+            ctx.setMessage(in);
+            return ctx.getInvokeAction();
+        }
+        in.tryDispose();
+        return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        Passage passage = Leg.of(ctx.getConnection()).passage;
+        if (passage != null && passage.out && passage.backend == Leg.of(ctx.getConnection())) {
+            failed(passage, passage.setups, Failure.Cause.BROKEN);
+            return ctx.getStopAction();
+        }
+        return ctx.getInvokeAction();
+    }
+
+    /** The client left while the setup was out. */
+    void abandon(Passage passage) {
+        if (passage.out) {
+            failed(passage, passage.setups, Failure.Cause.CLIENT_LEFT);
+        }
+    }
+
+    private void failed(Passage passage, int n, Failure.Cause cause) {
+        if (!passage.out || passage.setups != n) {
+            return;
+        }
+        passage.out = false;
+        passage.patience.cancel();
+        if (passage.backend != null) {
+            passage.backend.close();
+        }
+        Failure failure = passage.failure(cause);
+        book.count("setup_" + failure.outcome().name().toLowerCase());
+        if (passage.opening.at() != null) {
+            loop.after(REOPEN_EVERY, () -> reopen(passage));
+        } else {
+            route.ended(passage, failure);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -0,0 +1,150 @@
+package asterpulley.net;
+
+import asterpulley.decode.Json;
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.memory.PooledMemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import sun.misc.Signal;
+
+/**
+ * Owns one relay's life: it reads the configuration, builds the chains of stages, listens, and leaves in order when
+ * it is told to. Everything after the start happens on the one selector thread. It must never end with a tunnel
+ * unanswered or a client unmoved while there is still time.
+ */
+public final class Serve {
+    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+    /** Descriptors that are no connections: files of the program, selectors, the listening socket. */
+    private static final int OWN_FILES = 40;
+    /** A restart leaves newcomers coming for less than this. */
+    private static final double NEWCOMERS = 0.6;
+    /** Standing clients are moved over this time, so that they do not all come to the siblings at once. */
+    private static final double MOVES_OVER = 1.5;
+    private static final double MOVES_STEP = 0.05;
+
+    private final Config config;
+    private final Loop loop = new Loop();
+    private final Book book = new Book();
+    private final Route route;
+    private final Relay relay;
+    private final TCPNIOTransport transport;
+    private final TCPNIOServerConnection listener;
+    private final CountDownLatch gone = new CountDownLatch(1);
+    private double leavingSince;
+    private double movesOwed;
+
+    private Serve(Config config) throws IOException {
+        this.config = config;
+        transport = TCPNIOTransportBuilder.newInstance().setName("relay")
+                .setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
+                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("relay").setCorePoolSize(1)
+                        .setMaxPoolSize(1))
+                .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
+                .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
+        route = new Route(loop, book);
+        Dialer dialer = new Dialer(transport, loop, book);
+        Discovery discovery = new Discovery(config, loop, book, route, transport);
+        Send send = new Send(config, loop, book, dialer, discovery, route);
+        relay = new Relay(loop, book, route, send);
+        Probes probes = new Probes(config, loop, book, dialer, discovery, route);
+        SocketFilter sockets = new SocketFilter(transport, loop, book);
+        Admit admit = new Admit(config.settings, book, new Random(config.seed), config.sockets - OWN_FILES);
+        send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
+        probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
+        discovery.through(FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter())
+                .add(discovery).build());
+        transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
+                .add(new TakeIn(loop, config.words, book)).add(admit).add(route).add(relay).build());
+        // Timers and the module start as the loop's first work; nobody is accepted before.
+        transport.start();
+        CountDownLatch started = new CountDownLatch(1);
+        loop.handIn(() -> {
+            route.start(config, send, relay, probes, discovery);
+            relay.start();
+            started.countDown();
+        });
+        try {
+            started.await();
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted at the start");
+        }
+        listener = transport.bind(config.listen);
+    }
+
+    /** Serves until told to end; returns the exit status. */
+    public static int run(PrintStream stderr) {
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %3$s: %5$s%6$s%n");
+        Logger.getLogger("org.glassfish.grizzly").setLevel(Level.WARNING);
+        String file = System.getenv("LB_CONFIG");
+        if (file == null || file.isEmpty()) {
+            stderr.println("asterpulley serve: LB_CONFIG names no configuration");
+            return 1;
+        }
+        Config config;
+        try {
+            config = Config.read(Path.of(file));
+        } catch (IOException e) {
+            stderr.println("asterpulley serve: cannot read the configuration: " + e.getMessage());
+            return 1;
+        } catch (Json.Malformed e) {
+            stderr.println("asterpulley serve: configuration: " + e.getMessage());
+            return 1;
+        }
+        try {
+            Serve serve = new Serve(config);
+            Signal.handle(new Signal("TERM"), s -> serve.loop.handIn(serve::leave));
+            Signal.handle(new Signal("HUP"), s -> serve.loop.handIn(() -> LOG.info(serve.book.toString())));
+            LOG.info("serving " + config.name + " at " + config.listen + ", backends known "
+                    + config.known.servers().size() + ", sockets " + config.sockets);
+            serve.gone.await();
+            return 0;
+        } catch (IOException e) {
+            stderr.println("asterpulley serve: cannot listen at " + config.listen + ": " + e.getMessage());
+            return 1;
+        } catch (InterruptedException e) {
+            return 1;
+        }
+    }
+
+    /** Told to end: newcomers are still answered, what is pending is settled, whoever stands is moved. */
+    private void leave() {
+        if (leavingSince == 0) {
+            leavingSince = loop.now();
+            LOG.info("leaving, held " + book.held());
+            leaving();
+        }
+    }
+
+    private void leaving() {
+        double since = loop.now() - leavingSince;
+        double last = config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0) + 0.5;
+        movesOwed += Math.max(1, book.held() * MOVES_STEP / Math.max(MOVES_STEP, MOVES_OVER - since));
+        for (Passage passage : book.all()) {
+            if (passage.standing && !passage.moving && movesOwed >= 1) {
+                movesOwed--;
+                relay.move(passage);
+            }
+        }
+        if (book.held() == 0 && since > NEWCOMERS || since > last) {
+            LOG.info("left, held " + book.held() + " after " + Math.round(since * 1000) + " ms");
+            LOG.info(book.toString());
+            gone.countDown();
+            return;
+        }
+        loop.after(MOVES_STEP, this::leaving);
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/SocketFilter.java
@@ -0,0 +1,108 @@
+package asterpulley.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * Owns reading from sockets, at the bottom of every chain of tunnels and probes. It stands where Grizzly's own
+ * transport filter would, because that one closes a connection at the end of its incoming direction and cannot
+ * tell it from a reset; here both go up the chain as messages of their own. It must never interpret a byte.
+ */
+final class SocketFilter extends BaseFilter {
+    private static final Logger LOG = Logger.getLogger(SocketFilter.class.getName());
+    /** The one size of all buffers: the longest line. */
+    static final int BUFFER = Words.LONGEST;
+
+    /** How the incoming direction ended: in order, or by a reset. */
+    enum End { FIN, RESET }
+
+    private final TCPNIOTransport transport;
+    private final Loop loop;
+    private final Book book;
+
+    SocketFilter(TCPNIOTransport transport, Loop loop, Book book) {
+        this.transport = transport;
+        this.loop = loop;
+        this.book = book;
+    }
+
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+        new Leg(ctx.getConnection(), loop, book);
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Connection<?> connection = ctx.getConnection();
+        Leg leg = Leg.of(connection);
+        if (leg == null || leg.closed()) {
+            return ctx.getStopAction();
+        }
+        Buffer buffer = (Buffer) connection.getMemoryManager().allocate(BUFFER);
+        ByteBuffer into = buffer.toByteBuffer();
+        int got;
+        End end = End.FIN;
+        try {
+            got = ((SocketChannel) ((NIOConnection) connection).getChannel()).read(into);
+        } catch (IOException e) {
+            got = -1;
+            end = End.RESET;
+        }
+        if (got <= 0 || leg.lingering()) {
+            buffer.allowBufferDispose(true);
+            buffer.tryDispose();
+        }
+        if (leg.lingering()) {
+            if (got < 0) {
+                leg.close();
+            }
+            return ctx.getStopAction();
+        }
+        if (got == 0) {
+            return ctx.getStopAction();
+        }
+        if (got < 0) {
+            leg.deaf();
+            ctx.setMessage(end);
+        } else {
+            buffer.position(0);
+            buffer.limit(got);
+            buffer.allowBufferDispose(true);
+            ctx.setMessage(buffer);
+        }
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleWrite(FilterChainContext ctx) throws IOException {
+        return transport.getTransportFilter().handleWrite(ctx);
+    }
+
+    /** A connection that broke while it was written to; one that this relay closed tells nobody. */
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        Leg leg = Leg.of(ctx.getConnection());
+        return leg != null && leg.lost() ? ctx.getInvokeAction() : ctx.getStopAction();
+    }
+
+    /** Whatever a stage throws ends this connection and no other. */
+    @Override
+    public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
+        LOG.log(Level.SEVERE, "a stage failed", error);
+        Leg leg = Leg.of(ctx.getConnection());
+        if (leg != null) {
+            leg.reset();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/asterpulley/net/Words.java
@@ -0,0 +1,192 @@
+package asterpulley.net;
+
+import asterpulley.Listed;
+import asterpulley.Outcome;
+import asterpulley.Report;
+import asterpulley.decode.Json;
+import asterpulley.decode.SettingsDecoder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Owns the words of the platform's line protocol and of its discovery: lines and entries are read into the relay's
+ * terms here and written here, and nowhere else. It must never decide anything, nor touch a socket.
+ */
+final class Words {
+    /** The longest line that is taken. */
+    static final int LONGEST = 4096;
+    static final String PONG = "PONG";
+    static final String MOVE = "MOVE";
+    static final String ERR = "ERR";
+    static final String MALFORMED = "SYNTAX";
+    static final String PING = "PING";
+    static final String STATS = "STATS";
+    static final String NO = "NO";
+
+    /** A client's first line; {@code patience} is NaN where it names none. */
+    record Opening(String key, int profile, int customer, String group, double patience, String at,
+            String beforePatience, String afterPatience) {
+        /** The line for a backend: unchanged but for how long this relay will wait. */
+        String line(double wait) {
+            return afterPatience == null ? beforePatience
+                    : beforePatience + Math.max(1, Math.round(wait * 1000)) + afterPatience;
+        }
+    }
+
+    private final Map<String, Integer> profiles;
+    private final Map<String, Integer> customers;
+    private final Map<String, Integer> zones;
+    private final Map<String, Integer> models;
+
+    /** The names that lines and entries may use, by their place in the settings. */
+    Words(Map<String, Object> settings) {
+        profiles = places(settings, "profiles");
+        customers = places(settings, "tenants");
+        zones = places(settings, "zones");
+        models = places(settings, "models");
+    }
+
+    private static Map<String, Integer> places(Map<String, Object> settings, String list) {
+        Map<String, Integer> places = new HashMap<>();
+        if (settings.get(list) instanceof List<?> names) {
+            for (Object o : names) {
+                Object name = o instanceof Map<?, ?> named ? named.get("name") : o;
+                places.put(String.valueOf(name), places.size());
+            }
+        }
+        return places;
+    }
+
+    /** Null where the line is not an opening. */
+    Opening opening(String line) {
+        String[] w = line.split(" ", -1);
+        if (w.length != 4 || !w[0].equals("OPEN") || w[1].isEmpty()) {
+            return null;
+        }
+        int profile = 0;
+        int customer = 0;
+        String group = null;
+        String at = null;
+        double patience = Double.NaN;
+        String before = line;
+        String after = null;
+        int from = line.length() - w[3].length();
+        for (String pair : w[3].split(",")) {
+            int eq = pair.indexOf('=');
+            String value = pair.substring(eq + 1);
+            switch (eq < 0 ? "" : pair.substring(0, eq)) {
+                case "c" -> profile = profiles.getOrDefault(value, 0);
+                case "t" -> customer = customers.getOrDefault(value, 0);
+                case "g" -> group = value;
+                case "at" -> at = value;
+                case "d" -> {
+                    try {
+                        patience = Double.parseDouble(value) / 1000;
+                    } catch (NumberFormatException e) {
+                        return null;
+                    }
+                    before = line.substring(0, from + eq + 1);
+                    after = line.substring(from + pair.length());
+                }
+                default -> {
+                }
+            }
+            from += pair.length() + 1;
+        }
+        return new Opening(w[2], profile, customer, group, patience, at, before, after);
+    }
+
+    static String busy(double retryAfter) {
+        return retryAfter > 0 ? "BUSY " + Math.round(retryAfter * 1000) : "BUSY";
+    }
+
+    static boolean isOpened(String line) {
+        return line.startsWith("UP ");
+    }
+
+    /** What a backend's line says of the tunnel's end; null where it says nothing of that. */
+    static Failure.Cause cause(String line) {
+        int space = line.indexOf(' ');
+        return switch (space < 0 ? line : line.substring(0, space)) {
+            case "BYE" -> Failure.Cause.BYE;
+            case MOVE -> Failure.Cause.MOVE;
+            case ERR -> Failure.Cause.ERR;
+            case "BUSY" -> Failure.Cause.BUSY;
+            default -> null;
+        };
+    }
+
+    /** A tunnel's load in cores, where this line tells it; else NaN. */
+    static double load(String line) {
+        if (!line.startsWith("LOAD ")) {
+            return Double.NaN;
+        }
+        try {
+            return Double.parseDouble(line.substring(5).trim()) / 1e6;
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    static Outcome probed(String line) {
+        return line.startsWith(PONG) ? Outcome.OK
+                : Failure.Cause.BUSY == cause(line) ? Outcome.FULL : Outcome.FAILED;
+    }
+
+    /** The load report behind an answer's first word, where there is one. */
+    static Report report(String line) {
+        Map<String, Object> figures = new HashMap<>();
+        int space = line.indexOf(' ');
+        for (String pair : space < 0 ? new String[0] : line.substring(space + 1).trim().split(",")) {
+            int eq = pair.indexOf('=');
+            try {
+                figures.put(name(pair.substring(0, Math.max(0, eq))), Double.valueOf(pair.substring(eq + 1)));
+            } catch (NumberFormatException e) {
+                // A figure that is no number is left out, the others count.
+                continue;
+            }
+        }
+        return SettingsDecoder.report(figures);
+    }
+
+    /** Lines may name figures otherwise than the settings do. */
+    private static String name(String figure) {
+        return switch (figure) {
+            case "util" -> "busy";
+            case "inflight" -> "rif";
+            case "eps" -> "fail_rate";
+            default -> figure;
+        };
+    }
+
+    /** A list of backends as discovery writes it, with where this relay reaches each. */
+    record Fleet(long version, boolean whole, List<Listed> servers, Map<String, String> dials) {
+    }
+
+    Fleet fleet(Map<String, Object> in) {
+        List<Listed> servers = new ArrayList<>();
+        Map<String, String> dials = new HashMap<>();
+        for (Object o : Json.list(in, "hosts")) {
+            Map<String, Object> e = Json.object(o, "an entry of hosts");
+            String host = Json.text(e, "host");
+            Listed.State state = switch (Json.text(e, "health")) {
+                case "up" -> Listed.State.RUNNING;
+                case "removed" -> Listed.State.GONE;
+                default -> Listed.State.DRAINING;
+            };
+            if (Json.textOrNull(e, "dial") != null) {
+                dials.put(host, Json.text(e, "dial"));
+            }
+            double born = Json.seconds(e, "born_ms");
+            servers.add(new Listed(host, place(zones, e.get("site")), place(models, e.get("class")),
+                    place(Map.of(), e.get("block")), state, born > 0 ? born : Double.NEGATIVE_INFINITY));
+        }
+        return new Fleet(Json.whole(in, "seq"), Json.flag(in, "whole"), servers, dials);
+    }
+
+    private static int place(Map<String, Integer> places, Object named) {
+        return named instanceof Number n ? n.intValue() : places.getOrDefault(String.valueOf(named), 0);
+    }
+}
