--- a/src/main/java/asterpulley/net/Book.java
+++ b/src/main/java/asterpulley/net/Book.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.logging.Logger;
+import org.glassfish.grizzly.Buffer;
 
 /**
  * The last stage, book: owns the relay's counters and the record of every tunnel that it holds. What the other
@@ -62,10 +63,8 @@
         passage.over = true;
         passage.client.line(line);
         passage.client.linger();
-        if (passage.early != null) {
-            passage.early.tryDispose();
-            passage.early = null;
-        }
+        passage.early.forEach(Buffer::tryDispose);
+        passage.early.clear();
         leave(passage);
     }
 
--- a/src/main/java/asterpulley/net/Leg.java
+++ b/src/main/java/asterpulley/net/Leg.java
@@ -22,8 +22,8 @@
  * read). It must never block, never keep more than a bounded amount for a slow reader, and be closed only once.
  */
 final class Leg {
-    /** What waits for a slow reader before its sender is no longer read from. */
-    private static final int MOST_PENDING = 64 * 1024;
+    /** Buffers that wait for a slow reader before its sender is no longer read from, however little each holds. */
+    private static final int MOST_WAITING = 16;
     /** A peer that was told the last word is waited for this long, so that a reset does not destroy that word. */
     private static final double LINGER = 1;
     private static final Attribute<Leg> LEG = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("leg");
@@ -35,8 +35,8 @@
     private final Book book;
     /** The tunnel that it belongs to, once there is one. */
     Passage passage;
-    private int pending;
-    private boolean endWhenWritten, ended, closed, lingering;
+    private int waiting;
+    private boolean endWhenWritten, ended, closed, lingering, deaf;
     private Leg feeder;
     private Runnable whenWritten;
 
@@ -80,29 +80,28 @@
             bytes.tryDispose();
             return;
         }
-        int size = bytes.remaining();
-        pending += size;
+        waiting++;
         bytes.allowBufferDispose(true);
         connection.write(bytes, new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
             @Override
             public void completed(WriteResult<Buffer, SocketAddress> result) {
-                written(size);
+                written();
             }
 
             @Override
             public void failed(Throwable why) {
-                pending -= size;
+                waiting--;
             }
         });
-        if (pending > MOST_PENDING && from != null && feeder == null && !closed) {
+        if (waiting > MOST_WAITING && from != null && feeder == null && !closed) {
+            book.count("slow_readers");
             feeder = from;
             from.reading(false);
         }
     }
 
-    private void written(int size) {
-        pending -= size;
-        if (pending > 0) {
+    private void written() {
+        if (--waiting > 0) {
             return;
         }
         if (feeder != null) {
@@ -119,8 +118,9 @@
         }
     }
 
-    private void reading(boolean on) {
-        if (closed) {
+    /** Reads on, or leaves what comes to the kernel until it is read on. */
+    void reading(boolean on) {
+        if (closed || deaf && on) {
             return;
         }
         try {
@@ -136,6 +136,7 @@
 
     /** Its incoming direction has ended: nothing more will be read. */
     void deaf() {
+        deaf = true;
         reading(false);
     }
 
@@ -144,7 +145,7 @@
         if (closed || ended) {
             return;
         }
-        if (pending > 0) {
+        if (waiting > 0) {
             endWhenWritten = true;
             return;
         }
--- a/src/main/java/asterpulley/net/Passage.java
+++ b/src/main/java/asterpulley/net/Passage.java
@@ -1,6 +1,8 @@
 package asterpulley.net;
 
 import asterpulley.Balance;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.glassfish.grizzly.Buffer;
 
 /**
@@ -26,12 +28,14 @@
 
     /** The client has its final answer; it stands; nothing more can happen to it. */
     boolean answered, standing, over;
-    /** Bytes that the client sent before its answer. */
-    Buffer early;
+    /** What the client sent before its answer. */
+    final Deque<Buffer> early = new ArrayDeque<>();
     /** The backend's last word, where it said one. */
     Failure.Cause farewell;
     boolean moving;
     boolean clientEnded, backendEnded;
+    /** When bytes last came from either side. */
+    double heardAt;
     /** Since when a client's line has been without any line back; 0: it is not. */
     double unansweredSince;
 
--- a/src/main/java/asterpulley/net/Probes.java
+++ b/src/main/java/asterpulley/net/Probes.java
@@ -16,6 +16,7 @@
     /** One backend's connection and the question that is out on it. */
     private static final class Line {
         private final String host;
+        private String address;
         private Leg leg;
         private boolean asked, fresh;
         private Failure.Reach reach;
@@ -60,6 +61,12 @@
         book.count("probes");
         line.asked = true;
         line.patience = loop.after(patience, () -> failed(line, Failure.Cause.GIVEN_UP));
+        String address = fleet.dial(host);
+        if (line.leg != null && !line.leg.closed() && address != null && !address.equals(line.address)) {
+            // The backend is reached elsewhere now: what the old connection tells is not of it.
+            drop(line.leg);
+        }
+        line.address = address;
         if (line.leg != null && !line.leg.closed()) {
             line.fresh = false;
             say(line);
@@ -71,7 +78,7 @@
     private void dial(Line line) {
         line.fresh = true;
         line.reach = Failure.Reach.NOT_CONNECTED;
-        line.leg = dialer.dial(fleet.dial(line.host), chain, Math.min(patience, config.connectTimeout), leg -> {
+        line.leg = dialer.dial(line.address, chain, Math.min(patience, config.connectTimeout), leg -> {
             line.leg = leg;
             byLeg.put(leg, line);
             if (line.asked) {
--- a/src/main/java/asterpulley/net/Relay.java
+++ b/src/main/java/asterpulley/net/Relay.java
@@ -11,8 +11,10 @@
  * must never change a byte, never speak to a client in the middle of a line, and never hold a line back.
  */
 final class Relay extends BaseFilter {
-    /** A side that does not end after the other did holds sockets for nobody: after this both are closed. */
-    private static final double HALF_CLOSED = 5;
+    /** One side has ended and the other says nothing this long: it holds sockets for nobody. */
+    private static final double HALF_CLOSED = 10;
+    /** A client that speaks before its answer is not read from beyond this many buffers. */
+    private static final int MOST_EARLY = 16;
     /** A client must not wait for ever for a silent backend: it is moved in time before the platform's bound. */
     private static final double SILENT = 6;
     private static final double SWEEP = 0.25;
@@ -50,10 +52,13 @@
         boolean fromClient = passage.client == leg;
         if (message instanceof SocketFilter.End end) {
             end(passage, leg, end);
-        } else if (passage.over || !passage.standing && !fromClient) {
+        } else if (!passage.standing && (passage.over || !fromClient)) {
             ((Buffer) message).tryDispose();
         } else if (!passage.standing) {
-            early(passage, (Buffer) message);
+            passage.early.add((Buffer) message);
+            if (passage.early.size() >= MOST_EARLY) {
+                leg.reading(false);
+            }
         } else if (fromClient) {
             toBackend(passage, (Buffer) message);
         } else {
@@ -71,24 +76,12 @@
         return ctx.getStopAction();
     }
 
-    /** A client may speak before its answer; what it says waits, a buffer at most, and is passed on behind it. */
-    private void early(Passage passage, Buffer bytes) {
-        if (passage.early != null) {
-            passage.early.tryDispose();
-            bytes.tryDispose();
-            book.count("malformed");
-            left(passage);
-            book.answer(passage, Words.ERR);
-            return;
-        }
-        passage.early = bytes;
-    }
-
     private void toBackend(Passage passage, Buffer bytes) {
         if (passage.unansweredSince == 0) {
             passage.unansweredSince = loop.now();
         }
         book.add("bytes_to_backends", bytes.remaining());
+        passage.heardAt = loop.now();
         passage.backend.write(bytes, passage.client);
     }
 
@@ -100,6 +93,7 @@
         }
         bytes.position(from);
         book.add("bytes_to_clients", bytes.remaining());
+        passage.heardAt = loop.now();
         passage.client.write(bytes, passage.backend);
         if (passage.moving && gather.between()) {
             moveNow(passage);
@@ -128,7 +122,7 @@
         boolean byClient = passage.client == leg;
         if (!passage.standing) {
             if (byClient) {
-                left(passage);
+                left(passage, end);
             } else {
                 leg.close();
             }
@@ -137,40 +131,64 @@
         Leg other = byClient ? passage.backend : passage.client;
         Failure.Cause cause = byClient ? Failure.Cause.CLIENT_LEFT
                 : passage.farewell != null ? passage.farewell : Failure.Cause.BROKEN;
-        finish(passage, cause);
+        passage.clientEnded |= byClient;
+        passage.backendEnded |= !byClient;
         if (!byClient && passage.farewell != null) {
             // A reset on a client's last line must not destroy the backend's last word to that client.
+            finish(passage, cause);
             leg.close();
             other.linger();
         } else if (end == SocketFilter.End.RESET) {
+            finish(passage, cause);
             leg.close();
             other.reset();
+        } else if (passage.clientEnded && passage.backendEnded) {
+            finish(passage, cause);
+            leg.close();
+            other.close();
         } else {
-            passage.clientEnded |= byClient;
-            passage.backendEnded |= !byClient;
-            other.endSending();
-            if (passage.clientEnded && passage.backendEnded) {
-                leg.close();
-                other.close();
-            } else {
-                loop.after(HALF_CLOSED, () -> {
-                    leg.close();
-                    other.close();
-                });
+            if (!byClient) {
+                finish(passage, cause);
             }
+            passage.heardAt = loop.now();
+            other.endSending();
+            loop.after(HALF_CLOSED, () -> halfClosed(passage));
         }
     }
 
-    /** The client left before its answer: one that only ended its own sending is still told. */
-    private void left(Passage passage) {
+    /** Guards against a side that never ends: a client's machine, or a backend's, that fell silent. */
+    private void halfClosed(Passage passage) {
+        if (passage.client.closed() && passage.backend.closed()) {
+            return;
+        }
+        double quiet = loop.now() - passage.heardAt;
+        if (quiet < HALF_CLOSED) {
+            loop.after(HALF_CLOSED - quiet, () -> halfClosed(passage));
+            return;
+        }
+        finish(passage, Failure.Cause.CLIENT_LEFT);
+        passage.client.close();
+        passage.backend.close();
+    }
+
+    /**
+     * The client left before its answer, or only ended its own sending: nobody can tell. No further setup is made,
+     * but one that is out may still open, and in any case there is an answer.
+     */
+    private void left(Passage passage, SocketFilter.End end) {
         if (passage.over) {
             passage.client.close();
             return;
         }
         book.count("left_before_answer");
+        passage.clientEnded = true;
         route.withdrawn(passage);
-        send.abandon(passage);
-        book.answer(passage, Words.ERR);
+        if (end == SocketFilter.End.RESET) {
+            send.abandon(passage);
+        }
+        if (!passage.out) {
+            book.answer(passage, Words.ERR);
+        }
     }
 
     private void finish(Passage passage, Failure.Cause cause) {
--- a/src/main/java/asterpulley/net/Route.java
+++ b/src/main/java/asterpulley/net/Route.java
@@ -84,14 +84,27 @@
             double budget = Double.isNaN(o.patience()) ? 0 : Math.max(1e-3, o.patience());
             tell(() -> passage.handle = balance.take(passage.id, o.profile(), o.customer(), o.group(), o.key(),
                     budget, false));
-            if (passage.handle == null && !passage.answered) {
+            if (passage.handle == null) {
                 // The module failed on it: its client must still get its one answer.
                 book.answer(passage, Words.ERR);
             }
+            if (budget > 0 && !passage.answered) {
+                loop.after(budget, () -> overdue(passage));
+            }
         }
         return ctx.getStopAction();
     }
 
+    /** Guards against a tunnel that nobody answers: at its client's timeout it is closed with error, at the latest. */
+    private void overdue(Passage passage) {
+        if (!passage.answered) {
+            book.count("overdue");
+            withdrawn(passage);
+            send.abandon(passage);
+            book.answer(passage, Words.ERR);
+        }
+    }
+
     void opened(Passage passage) {
         Words.Opening o = passage.opening;
         if (passage.handle == null) {
--- a/src/main/java/asterpulley/net/Send.java
+++ b/src/main/java/asterpulley/net/Send.java
@@ -115,9 +115,13 @@
         passage.answered = true;
         book.count("opened");
         passage.client.line(line);
-        if (passage.early != null) {
-            leg.write(passage.early, passage.client);
-            passage.early = null;
+        while (!passage.early.isEmpty()) {
+            leg.write(passage.early.poll(), passage.client);
+        }
+        passage.client.reading(true);
+        if (passage.clientEnded) {
+            // It ended its sending behind its line, and only that: the backend is told so, and it gets its answer.
+            leg.endSending();
         }
         route.opened(passage);
         if (in.hasRemaining()) {
@@ -160,6 +164,9 @@
             loop.after(REOPEN_EVERY, () -> reopen(passage));
         } else {
             route.ended(passage, failure);
+            if (passage.clientEnded) {
+                book.answer(passage, Words.ERR);
+            }
         }
     }
 }
--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -1,13 +1,13 @@
 package asterpulley.net;
 
 import asterpulley.decode.Json;
-import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -47,7 +47,8 @@
     private double leavingSince;
     private double movesOwed;
 
-    private Serve(Config config) throws IOException {
+    /** Serves as soon as this returns. */
+    Serve(Config config) throws IOException {
         this.config = config;
         transport = TCPNIOTransportBuilder.newInstance().setName("relay")
                 .setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
@@ -87,7 +88,7 @@
 
     /** Serves until told to end; returns the exit status. */
     public static int run(PrintStream stderr) {
-        System.setProperty("java.util.logging.SimpleFormatter.format", "%4$s %3$s: %5$s%6$s%n");
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
         Logger.getLogger("org.glassfish.grizzly").setLevel(Level.WARNING);
         String file = System.getenv("LB_CONFIG");
         if (file == null || file.isEmpty()) {
@@ -106,11 +107,11 @@
         }
         try {
             Serve serve = new Serve(config);
-            Signal.handle(new Signal("TERM"), s -> serve.loop.handIn(serve::leave));
-            Signal.handle(new Signal("HUP"), s -> serve.loop.handIn(() -> LOG.info(serve.book.toString())));
+            Signal.handle(new Signal("TERM"), s -> serve.end());
+            Signal.handle(new Signal("HUP"), s -> serve.counted(book -> LOG.info(book.toString())));
             LOG.info("serving " + config.name + " at " + config.listen + ", backends known "
                     + config.known.servers().size() + ", sockets " + config.sockets);
-            serve.gone.await();
+            serve.await();
             return 0;
         } catch (IOException e) {
             stderr.println("asterpulley serve: cannot listen at " + config.listen + ": " + e.getMessage());
@@ -120,6 +121,30 @@
         }
     }
 
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalAddress();
+    }
+
+    /** What was counted so far, read on the loop's own thread. */
+    void counted(Consumer<Book> reader) {
+        loop.handIn(() -> reader.accept(book));
+    }
+
+    /** Tells it to end, from any thread. */
+    void end() {
+        loop.handIn(this::leave);
+    }
+
+    /** Waits until it has left. */
+    void await() throws InterruptedException {
+        gone.await();
+    }
+
+    /** Drops everything at once, as a kill would. */
+    void kill() throws IOException {
+        transport.shutdownNow();
+    }
+
     /** Told to end: newcomers are still answered, what is pending is settled, whoever stands is moved. */
     private void leave() {
         if (leavingSince == 0) {
--- a/src/main/java/asterpulley/net/SocketFilter.java
+++ b/src/main/java/asterpulley/net/SocketFilter.java
@@ -96,13 +96,10 @@
         return leg != null && leg.lost() ? ctx.getInvokeAction() : ctx.getStopAction();
     }
 
-    /** Whatever a stage throws ends this connection and no other. */
+    /** Whatever a stage throws ends this connection, and its tunnel hears of it as of any broken one. */
     @Override
     public void exceptionOccurred(FilterChainContext ctx, Throwable error) {
         LOG.log(Level.SEVERE, "a stage failed", error);
-        Leg leg = Leg.of(ctx.getConnection());
-        if (leg != null) {
-            leg.reset();
-        }
+        ctx.getConnection().terminateSilently();
     }
 }
--- a/src/main/java/asterpulley/net/TakeIn.java
+++ b/src/main/java/asterpulley/net/TakeIn.java
@@ -61,7 +61,7 @@
             book.count("taken");
             Passage passage = new Passage(leg, opening, loop.now());
             if (in.hasRemaining()) {
-                passage.early = in;
+                passage.early.add(in);
             } else {
                 in.tryDispose();
             }
--- a/src/main/java/asterpulley/net/Words.java
+++ b/src/main/java/asterpulley/net/Words.java
@@ -59,13 +59,13 @@
         return places;
     }
 
-    /** Null where the line is not an opening. */
+    /** Null where the line is not an opening, or one of a profile that no setting tells how to treat. */
     Opening opening(String line) {
-        String[] w = line.split(" ", -1);
+        String[] w = line.split(" ", 4);
         if (w.length != 4 || !w[0].equals("OPEN") || w[1].isEmpty()) {
             return null;
         }
-        int profile = 0;
+        Integer profile = 0;
         int customer = 0;
         String group = null;
         String at = null;
@@ -77,13 +77,13 @@
             int eq = pair.indexOf('=');
             String value = pair.substring(eq + 1);
             switch (eq < 0 ? "" : pair.substring(0, eq)) {
-                case "c" -> profile = profiles.getOrDefault(value, 0);
+                case "c" -> profile = profiles.get(value);
                 case "t" -> customer = customers.getOrDefault(value, 0);
                 case "g" -> group = value;
                 case "at" -> at = value;
                 case "d" -> {
                     try {
-                        patience = Double.parseDouble(value) / 1000;
+                        patience = Long.parseLong(value) / 1000.0;
                     } catch (NumberFormatException e) {
                         return null;
                     }
@@ -95,6 +95,9 @@
             }
             from += pair.length() + 1;
         }
+        if (profile == null || patience <= 0) {
+            return null;
+        }
         return new Opening(w[2], profile, customer, group, patience, at, before, after);
     }
 
