Tests of the relay on loopback sockets; a leaving relay waits for its last words

A relay that leaves now waits for connections that linger after MOVE, and answers what is pending 0.4 s before the platform may kill it.

--- a/src/main/java/asterpulley/net/Book.java
+++ b/src/main/java/asterpulley/net/Book.java
@@ -18,7 +18,8 @@
     private final Map<String, Long> counters = new TreeMap<>();
     private final Map<Long, Passage> passages = new HashMap<>();
     private long lastId;
-    int sockets;
+    /** Connections that are open, and those of them that only wait for a peer to read the last word. */
+    int sockets, lingering;
 
     void count(String what) {
         counters.merge(what, 1L, Long::sum);
@@ -74,7 +75,7 @@
 
     @Override
     public String toString() {
-        StringBuilder line = new StringBuilder("counters held=" + held() + " sockets=" + sockets);
+        StringBuilder line = new StringBuilder("held=" + held() + " sockets=" + sockets);
         counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
         return line.toString();
     }
--- a/src/main/java/asterpulley/net/Leg.java
+++ b/src/main/java/asterpulley/net/Leg.java
@@ -163,6 +163,7 @@
             return;
         }
         lingering = true;
+        book.lingering++;
         reading(true);
         endSending();
         loop.after(LINGER, this::close);
@@ -172,6 +173,7 @@
         if (!closed) {
             closed = true;
             book.sockets--;
+            book.lingering -= lingering ? 1 : 0;
             connection.terminateSilently();
         }
     }
--- a/src/main/java/asterpulley/net/Route.java
+++ b/src/main/java/asterpulley/net/Route.java
@@ -96,7 +96,7 @@
     }
 
     /** Guards against a tunnel that nobody answers: at its client's timeout it is closed with error, at the latest. */
-    private void overdue(Passage passage) {
+    void overdue(Passage passage) {
         if (!passage.answered) {
             book.count("overdue");
             withdrawn(passage);
--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -32,6 +32,8 @@
     private static final int OWN_FILES = 40;
     /** A restart leaves newcomers coming for less than this. */
     private static final double NEWCOMERS = 0.6;
+    /** The platform kills no sooner than 3.7 s after the signal; the rest is for last words to arrive. */
+    private static final double LEAVE = 3.3;
     /** Standing clients are moved over this time, so that they do not all come to the siblings at once. */
     private static final double MOVES_OVER = 1.5;
     private static final double MOVES_STEP = 0.05;
@@ -156,7 +158,6 @@
 
     private void leaving() {
         double since = loop.now() - leavingSince;
-        double last = config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0) + 0.5;
         movesOwed += Math.max(1, book.held() * MOVES_STEP / Math.max(MOVES_STEP, MOVES_OVER - since));
         for (Passage passage : book.all()) {
             if (passage.standing && !passage.moving && movesOwed >= 1) {
@@ -164,8 +165,12 @@
                 relay.move(passage);
             }
         }
-        if (book.held() == 0 && since > NEWCOMERS || since > last) {
-            LOG.info("left, held " + book.held() + " after " + Math.round(since * 1000) + " ms");
+        if (since > LEAVE) {
+            // What is still pending now gets its answer before the kill instead of none.
+            book.all().forEach(route::overdue);
+        }
+        if (book.held() == 0 && book.lingering == 0 && since > NEWCOMERS || since > LEAVE + 2 * MOVES_STEP) {
+            LOG.info("left after " + Math.round(since * 1000) + " ms");
             LOG.info(book.toString());
             gone.countDown();
             return;
--- /dev/null
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -0,0 +1,540 @@
+package asterpulley.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import asterpulley.decode.Json;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A relay on loopback sockets, between clients, backends and a discovery that are played here. */
+@Timeout(60)
+class ServeTest {
+    private static final String OPEN = "OPEN 9b1f 7f3a c=%s,t=acme,d=%d,g=5c0f";
+    private final List<AutoCloseable> open = new ArrayList<>();
+    @TempDir
+    Path folder;
+
+    // ---- The stage
+
+    /** One end of a connection, in lines or in bytes; whatever should come is waited for. */
+    private static final class End implements AutoCloseable {
+        final Socket socket;
+        private final InputStream in;
+
+        End(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(20_000);
+            in = socket.getInputStream();
+        }
+
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** The next line; null at the end of the connection. */
+        String line() throws IOException {
+            ByteArrayOutputStream line = new ByteArrayOutputStream();
+            for (int b = in.read(); b != '\n'; b = in.read()) {
+                if (b < 0) {
+                    return line.size() == 0 ? null : line + " (cut off)";
+                }
+                line.write(b);
+            }
+            String text = line.toString(StandardCharsets.UTF_8);
+            assertTrue(text.endsWith("\r"), text);
+            return text.substring(0, text.length() - 1);
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** A backend: answers probes by itself, and hands over every connection that brings an opening. */
+    private final class Backend {
+        final ServerSocket listening;
+        final BlockingQueue<End> tunnels = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> openings = new LinkedBlockingQueue<>();
+        volatile String load = "x0=0.1,rif=1,busy=0.1";
+
+        Backend() throws IOException {
+            listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            open.add(listening);
+            background(() -> {
+                while (true) {
+                    End end = new End(listening.accept());
+                    open.add(end);
+                    background(() -> serve(end));
+                }
+            });
+        }
+
+        private void serve(End end) throws IOException {
+            for (String line = end.line(); line != null; line = end.line()) {
+                if (!line.equals("STATS")) {
+                    openings.add(line);
+                    tunnels.add(end);
+                    return;
+                }
+                end.say("PONG " + load + "\r\n");
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + listening.getLocalPort();
+        }
+
+        String entry(String host, String health) {
+            return "{\"host\":\"%s\",\"dial\":\"%s\",\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"%s\",\"born_ms\":0}"
+                    .formatted(host, address(), health);
+        }
+
+        End taken() throws InterruptedException {
+            return tunnels.take();
+        }
+
+        /** Takes the next tunnel and opens it. */
+        End opens() throws IOException, InterruptedException {
+            End end = taken();
+            end.say("UP r1\r\n");
+            return end;
+        }
+    }
+
+    /** Discovery: each call waits here until the test answers it. */
+    private final class Registry {
+        final ServerSocket listening;
+        final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+
+        Registry() throws IOException {
+            listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            open.add(listening);
+            background(() -> {
+                while (true) {
+                    End end = new End(listening.accept());
+                    open.add(end);
+                    background(() -> serve(end));
+                }
+            });
+        }
+
+        private void serve(End end) throws Exception {
+            for (String line = end.line(); line != null; line = end.line()) {
+                if (line.startsWith("GET ")) {
+                    calls.add(line.split(" ")[1]);
+                } else if (line.isEmpty()) {
+                    String answer = answers.take();
+                    end.say(answer);
+                    if (!answer.contains(" 200 ")) {
+                        end.close();
+                        return;
+                    }
+                }
+            }
+        }
+
+        void tells(int version, String... entries) {
+            String body = "{\"seq\":%d,\"whole\":false,\"hosts\":[%s]}".formatted(version, String.join(",", entries));
+            answers.add("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
+                    .formatted(body.length(), body));
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void background(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // The stage ends its connections at the end of a test; what was expected of them is asserted there.
+                return;
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private Registry registry;
+    private Serve serve;
+
+    private Config config(int sockets, String... entries) throws IOException {
+        registry = new Registry();
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, """
+                {"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+                 "limits":{"sockets":%d},"known":{"seq":41,"whole":true,"hosts":[%s]},
+                 "settings":{"zones":["a"],"models":["m"],"tenants":[{"name":"acme","share":1}],"siblings":1,
+                 "registryMode":"subscribe","profiles":[
+                 {"name":"chat","effect":"read_like","clientTimeoutMs":3000,"setupGoalMs":2000},
+                 {"name":"pay","effect":"non_idempotent","clientTimeoutMs":3000,"setupGoalMs":2000}],
+                 "limits":{"probes":true,"retryAfter":true,"maxRetryAfterMs":1000,"mostSetups":4,"dialTimeoutMs":1000},
+                 "rules":{"askEveryMs":10000}}}
+                """.formatted(registry.listening.getLocalPort(), sockets, String.join(",", entries)));
+        return Config.read(file);
+    }
+
+    private void start(String... entries) throws IOException {
+        serve = new Serve(config(1000, entries));
+        open.add(serve::kill);
+    }
+
+    private End connect() throws IOException {
+        End end = new End(new Socket(serve.address().getAddress(), serve.address().getPort()));
+        open.add(end);
+        return end;
+    }
+
+    private End client(String profile, int patience) throws IOException {
+        End end = connect();
+        end.say(OPEN.formatted(profile, patience) + "\r\n");
+        return end;
+    }
+
+    private long counted(String what) throws Exception {
+        CompletableFuture<Long> got = new CompletableFuture<>();
+        serve.counted(book -> got.complete(book.counted(what)));
+        return got.get(20, TimeUnit.SECONDS);
+    }
+
+    private void await(String what, long atLeast) throws Exception {
+        while (counted(what) < atLeast) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+
+    // ---- Taking in
+
+    @Test
+    void linesAreTakenInHoweverTheyAreSplitOrJoined() throws Exception {
+        Backend b = new Backend();
+        start(b.entry("s1", "up"));
+        End client = connect();
+        client.say("PING\r\nPI");
+        assertEquals("PONG", client.line());
+        client.say("NG\r");
+        client.say("\nOPEN 9b1f 7f3a c=chat,t=ac");
+        assertEquals("PONG", client.line());
+        client.say("me,d=2000,g=5c0f,h=7\r\nfirst\r\nsec");
+        String line = b.openings.take();
+        assertTrue(line.matches("OPEN 9b1f 7f3a c=chat,t=acme,d=\\d+,g=5c0f,h=7"), line);
+        int told = Integer.parseInt(line.replaceAll(".*d=(\\d+).*", "$1"));
+        assertTrue(told > 0 && told <= 2000, line);
+        End backend = b.opens();
+        assertEquals("UP r1", client.line());
+        client.say("ond\r\n");
+        assertEquals("first", backend.line());
+        assertEquals("second", backend.line());
+        backend.say("LOAD 12000\r\nthi");
+        assertEquals("LOAD 12000", client.line());
+        backend.say("rd\r\n");
+        assertEquals("third", client.line());
+    }
+
+    @Test
+    void whatIsNoOpeningIsAnsweredAndEnded() throws Exception {
+        start();
+        for (String garbage : List.of("GET / HTTP/1.1\r\n", "OPEN 1 2\r\n", "OPEN 1 2 c=novel,d=100\r\n",
+                "OPEN 1 2 c=chat,d=soon\r\n", "\u0000\u0001\r\n", "x".repeat(5000))) {
+            End client = connect();
+            client.say(garbage);
+            assertEquals("SYNTAX", client.line());
+            assertNull(client.line());
+        }
+        assertEquals(6, counted("malformed"));
+        assertEquals(0, counted("taken"));
+    }
+
+    @Test
+    void withoutSocketsToSpareNewcomersAreToldToComeBack() throws Exception {
+        Backend b = new Backend();
+        serve = new Serve(config(40 + 20, b.entry("s1", "up")));
+        open.add(serve::kill);
+        List<End> standing = new ArrayList<>();
+        String answer = null;
+        while (standing.size() < 20 && (answer == null || answer.equals("UP r1"))) {
+            End client = client("chat", 2000);
+            background(b::opens);
+            answer = client.line();
+            standing.add(client);
+        }
+        assertTrue(answer.matches("BUSY \\d+"), answer);
+        assertTrue(standing.size() > 3, "opened " + (standing.size() - 1));
+        standing.get(0).reset();
+        for (answer = ""; !answer.equals("UP r1"); answer = standing.get(standing.size() - 1).line()) {
+            standing.get(standing.size() - 1).close();
+            standing.add(client("chat", 2000));
+            background(b::opens);
+        }
+    }
+
+    // ---- Setups
+
+    @Test
+    void aRefusedConnectionAndABusyBackendAreTriedElsewhere() throws Exception {
+        Backend gone = new Backend();
+        Backend busy = new Backend();
+        Backend good = new Backend();
+        gone.load = "x0=0.01";
+        busy.load = "x0=0.05";
+        good.load = "x0=0.5";
+        start(gone.entry("s1", "up"), busy.entry("s2", "up"), good.entry("s3", "up"));
+        await("probes_answered", 3);
+        gone.listening.close();
+        End client = client("pay", 2000);
+        busy.taken().say("BUSY\r\n");
+        good.opens();
+        assertEquals("UP r1", client.line());
+        assertEquals(1, counted("setup_no_connection"));
+        assertEquals(1, counted("setup_full"));
+    }
+
+    @Test
+    void aOnceOnlyTunnelThatMayHaveRunIsClosedWithErrorAndNotSentAgain() throws Exception {
+        for (Consumer<End> fails : List.<Consumer<End>>of(end -> quietly(() -> end.say("ERR\r\n")),
+                end -> quietly(end::close), end -> quietly(end::reset))) {
+            Backend one = new Backend();
+            Backend two = new Backend();
+            start(one.entry("s1", "up"), two.entry("s2", "up"));
+            End client = client("pay", 2000);
+            while (one.tunnels.isEmpty() && two.tunnels.isEmpty()) {
+                Thread.onSpinWait();
+            }
+            fails.accept((one.tunnels.isEmpty() ? two : one).taken());
+            assertEquals("ERR", client.line());
+            assertNull(client.line());
+            assertEquals(1, counted("setups"));
+        }
+    }
+
+    private static void quietly(Work work) {
+        try {
+            work.run();
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void aSilentBackendCostsNoClientItsAnswer() throws Exception {
+        Backend silent = new Backend();
+        start(silent.entry("s1", "up"));
+        long since = System.nanoTime();
+        End client = client("pay", 700);
+        assertEquals("ERR", client.line());
+        assertTrue(System.nanoTime() - since < 2.5e9, "by the client's time, not the profile's");
+        assertNull(silent.taken().line());
+    }
+
+    @Test
+    void aClientThatLeavesEarlyEndsNoOthersAndOneThatOnlyEndedItsSendingIsServed() throws Exception {
+        Backend b = new Backend();
+        start(b.entry("s1", "up"));
+        End leaver = client("chat", 2000);
+        End setup = b.taken();
+        leaver.reset();
+        assertNull(setup.line());
+        End half = client("chat", 2000);
+        setup = b.taken();
+        half.socket.shutdownOutput();
+        await("left_before_answer", 2);
+        setup.say("UP r2\r\nhere\r\n");
+        assertEquals("UP r2", half.line());
+        assertEquals("here", half.line());
+        assertNull(setup.line());
+    }
+
+    @Test
+    void tunnelsThatStoodBeforeGoToTheirBackendAlsoWhenThatIsNotYetListed() throws Exception {
+        Backend b = new Backend();
+        start();
+        End client = connect();
+        client.say("OPEN 77 88 c=chat,at=s9,g=1\r\n");
+        await("reopenings", 2);
+        registry.tells(42, b.entry("s9", "draining"));
+        assertEquals("OPEN 77 88 c=chat,at=s9,g=1", b.openings.take());
+        b.opens();
+        assertEquals("UP r1", client.line());
+    }
+
+    // ---- Standing tunnels
+
+    @Test
+    void eachSideEndsAsTheOtherDid() throws Exception {
+        Backend b = new Backend();
+        start(b.entry("s1", "up"));
+        End client = client("chat", 2000);
+        End backend = b.opens();
+        assertEquals("UP r1", client.line());
+        client.socket.shutdownOutput();
+        assertNull(backend.line());
+        backend.say("still here\r\n");
+        assertEquals("still here", client.line());
+        backend.close();
+        assertNull(client.line());
+
+        client = client("chat", 2000);
+        backend = b.opens();
+        client.line();
+        client.reset();
+        assertThrows(SocketException.class, backend::line);
+
+        client = client("chat", 2000);
+        backend = b.opens();
+        client.line();
+        backend.reset();
+        assertThrows(SocketException.class, client::line);
+
+        client = client("chat", 2000);
+        backend = b.opens();
+        client.line();
+        backend.say("BYE\r\n");
+        backend.close();
+        assertEquals("BYE", client.line());
+        client.say("a line that comes too late\r\n");
+        assertNull(client.line());
+        assertEquals(1, counted("ended_bye"));
+    }
+
+    @Test
+    void aSlowReaderHoldsItsSenderBackAndLosesNothing() throws Exception {
+        Backend b = new Backend();
+        start(b.entry("s1", "up"));
+        End client = client("chat", 2000);
+        End backend = b.opens();
+        client.line();
+        int total = 64 << 20;
+        byte[] chunk = new byte[1 << 16];
+        Arrays.fill(chunk, (byte) 'x');
+        background(() -> {
+            for (int sent = 0; sent < total; sent += chunk.length) {
+                backend.socket.getOutputStream().write(chunk);
+            }
+            backend.close();
+        });
+        await("slow_readers", 1);
+        assertTrue(counted("bytes_to_clients") < total / 2, "held back");
+        long got = 0;
+        for (int n = client.in.read(chunk); n >= 0; n = client.in.read(chunk)) {
+            got += n;
+        }
+        assertEquals(total, got);
+    }
+
+    @Test
+    void atItsEndARelayMovesEveryClientBetweenTwoLinesAndStillAnswers() throws Exception {
+        Backend b = new Backend();
+        start(b.entry("s1", "up"));
+        End idle = client("chat", 2000);
+        b.opens();
+        idle.line();
+        End midLine = client("chat", 2000);
+        End backend = b.opens();
+        midLine.line();
+        backend.say("half a ");
+        await("bytes_to_clients", 7);
+        serve.end();
+        assertEquals("MOVE", idle.line());
+        assertNull(idle.line());
+        End newcomer = client("chat", 2000);
+        End late = b.opens();
+        assertEquals("UP r1", newcomer.line());
+        assertEquals("MOVE", newcomer.line());
+        assertNull(late.line());
+        backend.say("line\r\n");
+        assertEquals("half a line", midLine.line());
+        assertEquals("MOVE", midLine.line());
+        serve.await();
+        assertEquals(3, counted("moved"));
+    }
+
+    // ---- Discovery
+
+    @Test
+    void theWatchGoesOnFromWhatWasToldAndAfterAFailure() throws Exception {
+        Backend one = new Backend();
+        Backend two = new Backend();
+        start(one.entry("s1", "up"));
+        assertTrue(registry.calls.take().matches("/registry/instances\\?index=41&wait=\\d+"));
+        registry.answers.add("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(registry.calls.take().startsWith("/registry/instances?index=41&"));
+        registry.tells(43, one.entry("s1", "draining"), two.entry("s2", "up"));
+        assertTrue(registry.calls.take().startsWith("/registry/instances?index=43&"));
+        for (int i = 0; i < 3; i++) {
+            End client = client("chat", 2000);
+            two.opens();
+            assertEquals("UP r1", client.line());
+        }
+        assertTrue(one.tunnels.isEmpty());
+        registry.answers.add("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"seq\":");
+        assertTrue(registry.calls.take().startsWith("/registry/instances?index=43&"));
+        assertEquals(2, counted("list_failures"));
+    }
+
+    // ---- What it is told
+
+    @Test
+    void aWrongConfigurationIsToldPlainly() throws Exception {
+        Path file = folder.resolve("wrong.json");
+        for (String[] c : new String[][] {{"{", "not JSON"}, {"[]", "the configuration is not an object"},
+                {"{\"settings\":{}}", "field name is not a text"},
+                {"{\"settings\":{},\"name\":\"n\",\"listen\":\"here\"}", "'here' is not an address and a port"}}) {
+            Files.writeString(file, c[0]);
+            String told = assertThrows(Json.Malformed.class, () -> Config.read(file)).getMessage();
+            assertTrue(told.startsWith(c[1]), told);
+        }
+    }
+
+    @Test
+    void howFarASetupHadComeTellsWhetherItMayHaveRun() {
+        for (Failure.Reach reach : Failure.Reach.values()) {
+            boolean sent = reach == Failure.Reach.SENT || reach == Failure.Reach.OPENED;
+            for (Failure.Cause cause : List.of(Failure.Cause.BROKEN, Failure.Cause.GIVEN_UP, Failure.Cause.CLIENT_LEFT)) {
+                assertEquals(!sent, new Failure(reach, cause).outcome().provesNotRun, reach + " " + cause);
+            }
+        }
+        assertTrue(new Failure(Failure.Reach.SENT, Failure.Cause.BUSY).outcome().provesNotRun);
+        for (Failure.Cause cause : List.of(Failure.Cause.BYE, Failure.Cause.MOVE, Failure.Cause.ERR)) {
+            assertTrue(!new Failure(Failure.Reach.SENT, cause).outcome().provesNotRun, cause.name());
+        }
+    }
+}
