--- a/src/main/java/asterpulley/net/Book.java
+++ b/src/main/java/asterpulley/net/Book.java
@@ -20,6 +20,8 @@
     private long lastId;
     /** Connections that are open, and those of them that only wait for a peer to read the last word. */
     int sockets, lingering;
+    /** Buffers that wait for slow readers, on all connections together. */
+    int waiting;
 
     void count(String what) {
         counters.merge(what, 1L, Long::sum);
--- a/src/main/java/asterpulley/net/Leg.java
+++ b/src/main/java/asterpulley/net/Leg.java
@@ -24,6 +24,8 @@
 final class Leg {
     /** Buffers that wait for a slow reader before its sender is no longer read from, however little each holds. */
     private static final int MOST_WAITING = 16;
+    /** The same over all connections: many slow readers at once must not fill the memory either. */
+    private static final int MOST_WAITING_IN_ALL = 4096;
     /** A peer that was told the last word is waited for this long, so that a reset does not destroy that word. */
     private static final double LINGER = 1;
     private static final Attribute<Leg> LEG = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("leg");
@@ -81,6 +83,7 @@
             return;
         }
         waiting++;
+        book.waiting++;
         bytes.allowBufferDispose(true);
         connection.write(bytes, new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
             @Override
@@ -91,9 +94,11 @@
             @Override
             public void failed(Throwable why) {
                 waiting--;
+                book.waiting--;
             }
         });
-        if (waiting > MOST_WAITING && from != null && feeder == null && !closed) {
+        boolean much = waiting > (book.waiting > MOST_WAITING_IN_ALL ? 1 : MOST_WAITING);
+        if (much && from != null && feeder == null && !closed) {
             book.count("slow_readers");
             feeder = from;
             from.reading(false);
@@ -101,6 +106,7 @@
     }
 
     private void written() {
+        book.waiting--;
         if (--waiting > 0) {
             return;
         }
