--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -27,10 +27,11 @@
     private static final double CROWDED = 0.95;
     /** Moves may add this many times the usual rate of setups: what stands behind them has some room. */
     private static final double MOVE_PACE = 6;
+    /** A draining server that sent none of its tunnels away for this long leaves it to us. */
+    private static final double DRAIN_WAIT = 2;
     /** Points of service that steady probes may cost, and the bounds of what that gives. */
     private static final double PROBE_SPEND = 0.01;
-    private static final double FASTEST_SEEK = 0.4;
-    private static final double SLOWEST_SEEK = 3;
+    private static final double FASTEST_SEEK = 0.4, SLOWEST_SEEK = 3;
     /** Servers that this relay does not use are sought this much less often than those it does. */
     private static final double UNUSED = 8;
     /** An older report says too little to place by: the best few are sought before the tunnel goes. */
@@ -64,8 +65,7 @@
     /** Own tunnels at which what they teach of that weighs as much as the figure taken. */
     private static final double FEW = 10;
     private static final double TIMER = 0.1;
-    private static final long SEEK = 0;
-    private static final long ASK_LIST = 1;
+    private static final long SEEK = 0, ASK_LIST = 1;
 
     private final Settings set;
     private final Front front;
@@ -81,7 +81,7 @@
     private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {}, eased = {};
     private double[] load = {}, extra = {}, placed = {}, own = {};
     private double[] startedAt = {}, seekAt = {}, seenAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
-    private double[] good = {}, bad = {}, coldCredit = {};
+    private double[] good = {}, bad = {}, coldCredit = {}, drainedAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
     private final List<Tunnel> waiting = new ArrayList<>();
     private final List<ArrayDeque<Placement>> recent = new ArrayList<>();
@@ -184,6 +184,7 @@
             if (on >= 0) {
                 int s = on;
                 fall(this);
+                drainedAt[s] = running[s] || moving || outcome != Outcome.CANCELLED ? drainedAt[s] : front.now();
                 if (outcome == Outcome.RESET) {
                     // A lost server drops its tunnels before the list tells: ask it now.
                     seekAt[s] = Math.min(seekAt[s], front.now());
@@ -406,7 +407,9 @@
             if (!holds && rank > last) {
                 continue;
             }
-            double f = holds ? 0 : GROUP_PULL * GROUP_COST * alone(rank) / capacity(s);
+            // The chance that no sibling holds the group at the server of this rank in the zone.
+            double alone = Math.min(1, strangers + 0.35 * rank);
+            double f = holds ? 0 : GROUP_PULL * GROUP_COST * alone / capacity(s);
             if (f > FULL || isFull(s) || barred.get(s) || !lawful(tun, s)) {
                 continue;
             }
@@ -478,10 +481,8 @@
     }
 
     private boolean overShare(Tunnel tun) {
-        if (set.excessCredit >= 1 || set.shares.isEmpty()) {
-            return false;
-        }
-        return customerOpen[tun.customer] > 1.1 * set.shares.get(tun.customer) * ownOpen + 1;
+        return set.excessCredit < 1 && !set.shares.isEmpty()
+                && customerOpen[tun.customer] > 1.1 * set.shares.get(tun.customer) * ownOpen + 1;
     }
 
     // ---- Servers
@@ -512,11 +513,6 @@
         return units / capacity(s);
     }
 
-    /** The chance that no sibling holds a group at the server of this rank in its order for the zone. */
-    private double alone(int rank) {
-        return Math.min(1, strangers + 0.35 * rank);
-    }
-
     /** All servers in an order that all relays give this group, so that they meet; kept: it costs a sort. */
     private int[] order(String group) {
         return orders.computeIfAbsent(group == null ? "" : group, g -> {
@@ -646,7 +642,9 @@
     private void relieve(int s) {
         double now = front.now();
         double f = factor(s);
-        double wanted = offline[s] ? own[s] : f > CROWDED ? own[s] * (f - FULL) / f : 0;
+        // What still stands when a draining server stops is cut off, so it is moved before.
+        boolean leaves = offline[s] || drainedAt[s] > 0 && now - drainedAt[s] > DRAIN_WAIT;
+        double wanted = leaves ? own[s] : f > CROWDED ? own[s] * (f - FULL) / f : 0;
         if (wanted <= 0 || moveCredit < 1 || eased[s] || held.get(s).isEmpty() || shared) {
             return;
         }
@@ -659,9 +657,9 @@
             }
         }
         // What frees most load for least credit, over its share first; some are shed where nobody has room.
-        boolean shed = room * set.siblings < 1 && !offline[s];
+        boolean shed = room * set.siblings < 1 && !leaves;
         List<Tunnel> leaving = new ArrayList<>(held.get(s));
-        leaving.removeIf(t -> t.moving || !offline[s] && now - t.openedAt < REPORT_LAG);
+        leaving.removeIf(t -> t.moving || !leaves && now - t.openedAt < REPORT_LAG);
         leaving.sort((a, b) -> Double.compare(b.units / worth(b), a.units / worth(a)));
         for (Tunnel t : leaving) {
             if (moveCredit < 1) {
@@ -679,7 +677,7 @@
                 front.move(t);
             }
         }
-        eased[s] = !offline[s];
+        eased[s] = !leaves;
     }
 
     private double worth(Tunnel tun) {
@@ -808,6 +806,7 @@
             model[s] = l.model();
             cell[s] = l.cell();
             running[s] = l.state() == Listed.State.RUNNING;
+            drainedAt[s] = running[s] ? 0 : drainedAt[s] > 0 ? drainedAt[s] : front.now();
             listed[s] = l.state() != Listed.State.GONE;
             if (l.startedAt() > startedAt[s] + 1e-3) {
                 restarted(s, l.startedAt());
@@ -859,6 +858,7 @@
             restUntil = Arrays.copyOf(restUntil, m);
             failedAt = Arrays.copyOf(failedAt, m);
             workedAt = Arrays.copyOf(workedAt, m);
+            drainedAt = Arrays.copyOf(drainedAt, m);
             good = Arrays.copyOf(good, m);
             bad = Arrays.copyOf(bad, m);
             coldCredit = Arrays.copyOf(coldCredit, m);
--- a/src/main/java/asterpulley/net/Admit.java
+++ b/src/main/java/asterpulley/net/Admit.java
@@ -45,7 +45,8 @@
     public NextAction handleRead(FilterChainContext ctx) {
         if (ctx.getMessage() instanceof Passage passage) {
             boolean full = book.sockets + 1 > room - reserve;
-            if (full != crowded) {
+            // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free.
+            if (full ? !crowded : crowded && book.sockets < room - reserve - reserve / 2) {
                 crowded = full;
                 book.log((full ? "no sockets left: declining" : "sockets again") + ", in use " + book.sockets
                         + " of " + room);
