--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -94,8 +94,7 @@
     private int ownOpen;
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
-    private double arrivals = 1, arrivalsAt;
-    private double listBackOff = 0.5;
+    private double arrivals = 1, arrivalsAt, listBackOff = 0.5;
     private boolean declining, shared, heldTold;
     private double window = WINDOW, windowCutAt, fullAt;
     private int inFlight;
@@ -184,10 +183,11 @@
             if (on >= 0) {
                 int s = on;
                 fall(this);
-                drainedAt[s] = running[s] || moving || outcome != Outcome.CANCELLED ? drainedAt[s] : front.now();
                 if (outcome == Outcome.RESET) {
                     // A lost server drops its tunnels before the list tells: ask it now.
                     seekAt[s] = Math.min(seekAt[s], front.now());
+                } else if (outcome == Outcome.CANCELLED && !moving && !running[s]) {
+                    drainedAt[s] = front.now();
                 }
                 return;
             }
--- a/src/main/java/asterpulley/net/Book.java
+++ b/src/main/java/asterpulley/net/Book.java
@@ -22,6 +22,8 @@
     int sockets, lingering;
     /** Buffers that wait for slow readers, on all connections together. */
     int waiting;
+    /** So many of them, and every sender is held back at once: slow readers must not fill the memory. */
+    int mostWaiting = Integer.MAX_VALUE;
 
     void count(String what) {
         counters.merge(what, 1L, Long::sum);
--- a/src/main/java/asterpulley/net/Config.java
+++ b/src/main/java/asterpulley/net/Config.java
@@ -22,6 +22,7 @@
     final InetSocketAddress discovery;
     final long seed;
     final int sockets;
+    final double memory;
     final double connectTimeout;
     final Settings settings;
     final Words words;
@@ -34,6 +35,7 @@
         discovery = address(Json.text(in, "discovery"));
         seed = seed(Json.text(in, "seed"));
         sockets = (int) Json.number(Json.part(in, "limits"), "sockets", 1024);
+        memory = Json.number(Json.part(in, "limits"), "memory_mb", 192) * (1 << 20);
         connectTimeout = Json.number(Json.part(told, "limits"), "dialTimeoutMs", 1000) / 1000;
         settings = SettingsDecoder.settings(told);
         words = new Words(told);
--- a/src/main/java/asterpulley/net/Gather.java
+++ b/src/main/java/asterpulley/net/Gather.java
@@ -1,6 +1,5 @@
 package asterpulley.net;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import org.glassfish.grizzly.Buffer;
 
@@ -19,7 +18,7 @@
             byte b = in.get();
             if (b == '\n') {
                 int end = size > 0 && bytes[size - 1] == '\r' ? size - 1 : size;
-                String line = new String(bytes, 0, end, StandardCharsets.UTF_8);
+                String line = new String(bytes, 0, end, Words.BYTES);
                 size = 0;
                 return line;
             }
--- a/src/main/java/asterpulley/net/Leg.java
+++ b/src/main/java/asterpulley/net/Leg.java
@@ -4,7 +4,6 @@
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -24,8 +23,6 @@
 final class Leg {
     /** Buffers that wait for a slow reader before its sender is no longer read from, however little each holds. */
     private static final int MOST_WAITING = 16;
-    /** The same over all connections: many slow readers at once must not fill the memory either. */
-    private static final int MOST_WAITING_IN_ALL = 4096;
     /** A peer that was told the last word is waited for this long, so that a reset does not destroy that word. */
     private static final double LINGER = 1;
     private static final Attribute<Leg> LEG = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("leg");
@@ -66,7 +63,7 @@
 
     void line(String line) {
         MemoryManager<?> memory = connection.getMemoryManager();
-        Buffer buffer = Buffers.wrap(memory, (line + "\r\n").getBytes(StandardCharsets.UTF_8));
+        Buffer buffer = Buffers.wrap(memory, (line + "\r\n").getBytes(Words.BYTES));
         write(buffer, null);
     }
 
@@ -97,7 +94,7 @@
                 book.waiting--;
             }
         });
-        boolean much = waiting > (book.waiting > MOST_WAITING_IN_ALL ? 1 : MOST_WAITING);
+        boolean much = waiting > (book.waiting > book.mostWaiting ? 1 : MOST_WAITING);
         if (much && from != null && feeder == null && !closed) {
             book.count("slow_readers");
             feeder = from;
--- a/src/main/java/asterpulley/net/Probes.java
+++ b/src/main/java/asterpulley/net/Probes.java
@@ -13,12 +13,16 @@
  * new one costs the backend work and room. It must answer every question exactly once, and never judge by itself.
  */
 final class Probes extends BaseFilter {
+    /** A connection unused this long is of a backend that nobody asks any more, or of a machine that fell silent. */
+    private static final double UNUSED = 60;
+
     /** One backend's connection and the question that is out on it. */
     private static final class Line {
         private final String host;
         private String address;
         private Leg leg;
         private boolean asked, fresh;
+        private double askedAt;
         private Failure.Reach reach;
         private Loop.Due patience;
 
@@ -53,6 +57,18 @@
         chain = probes;
     }
 
+    /** Starts the watch over unused connections. */
+    void start() {
+        lines.values().removeIf(line -> {
+            boolean unused = !line.asked && loop.now() - line.askedAt > UNUSED;
+            if (unused && line.leg != null) {
+                drop(line.leg);
+            }
+            return unused;
+        });
+        loop.after(UNUSED / 4, this::start);
+    }
+
     void ask(String host) {
         Line line = lines.computeIfAbsent(host, Line::new);
         if (line.asked) {
@@ -60,6 +76,7 @@
         }
         book.count("probes");
         line.asked = true;
+        line.askedAt = loop.now();
         line.patience = loop.after(patience, () -> failed(line, Failure.Cause.GIVEN_UP));
         String address = fleet.dial(host);
         if (line.leg != null && !line.leg.closed() && address != null && !address.equals(line.address)) {
--- a/src/main/java/asterpulley/net/Send.java
+++ b/src/main/java/asterpulley/net/Send.java
@@ -95,6 +95,9 @@
             return ctx.getStopAction();
         }
         String line = leg.gather.next(in);
+        while (line != null && !Double.isNaN(Words.load(line))) {
+            line = leg.gather.next(in);
+        }
         if (line == null) {
             in.tryDispose();
             if (leg.gather.tooLong()) {
--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -30,6 +30,8 @@
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
     /** Descriptors that are no connections: files of the program, selectors, the listening socket. */
     private static final int OWN_FILES = 40;
+    /** The part of the memory that may hold what slow readers have not read. */
+    private static final double FOR_SLOW_READERS = 0.1;
     /** A restart leaves newcomers coming for less than this. */
     private static final double NEWCOMERS = 0.6;
     /** The platform kills no sooner than 3.7 s after the signal; the rest is for last words to arrive. */
@@ -58,6 +60,7 @@
                         .setMaxPoolSize(1))
                 .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
                 .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
+        book.mostWaiting = (int) (config.memory * FOR_SLOW_READERS / SocketFilter.BUFFER);
         route = new Route(loop, book);
         Dialer dialer = new Dialer(transport, loop, book);
         Discovery discovery = new Discovery(config, loop, book, route, transport);
@@ -78,6 +81,7 @@
         loop.handIn(() -> {
             route.start(config, send, relay, probes, discovery);
             relay.start();
+            probes.start();
             started.countDown();
         });
         try {
--- a/src/main/java/asterpulley/net/Words.java
+++ b/src/main/java/asterpulley/net/Words.java
@@ -5,6 +5,8 @@
 import asterpulley.Report;
 import asterpulley.decode.Json;
 import asterpulley.decode.SettingsDecoder;
+import java.nio.charset.Charset;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,6 +19,8 @@
 final class Words {
     /** The longest line that is taken. */
     static final int LONGEST = 4096;
+    /** Lines go on byte for byte, whatever a client wrote in them. */
+    static final Charset BYTES = StandardCharsets.ISO_8859_1;
     static final String PONG = "PONG";
     static final String MOVE = "MOVE";
     static final String ERR = "ERR";
@@ -53,7 +57,7 @@
         if (settings.get(list) instanceof List<?> names) {
             for (Object o : names) {
                 Object name = o instanceof Map<?, ?> named ? named.get("name") : o;
-                places.put(String.valueOf(name), places.size());
+                places.put(new String(String.valueOf(name).getBytes(StandardCharsets.UTF_8), BYTES), places.size());
             }
         }
         return places;
--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -51,7 +51,7 @@
         }
 
         void say(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
         /** The next line; null at the end of the connection. */
@@ -63,7 +63,7 @@
                 }
                 line.write(b);
             }
-            String text = line.toString(StandardCharsets.UTF_8);
+            String text = line.toString(StandardCharsets.ISO_8859_1);
             assertTrue(text.endsWith("\r"), text);
             return text.substring(0, text.length() - 1);
         }
@@ -254,9 +254,9 @@
         client.say("NG\r");
         client.say("\nOPEN 9b1f 7f3a c=chat,t=ac");
         assertEquals("PONG", client.line());
-        client.say("me,d=2000,g=5c0f,h=7\r\nfirst\r\nsec");
+        client.say("me,d=2000,g=\u00e9\u0080,h=7\r\nfirst\r\nsec");
         String line = b.openings.take();
-        assertTrue(line.matches("OPEN 9b1f 7f3a c=chat,t=acme,d=\\d+,g=5c0f,h=7"), line);
+        assertTrue(line.matches("OPEN 9b1f 7f3a c=chat,t=acme,d=\\d+,g=\u00e9\u0080,h=7"), line);
         int told = Integer.parseInt(line.replaceAll(".*d=(\\d+).*", "$1"));
         assertTrue(told > 0 && told <= 2000, line);
         End backend = b.opens();
