--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -105,7 +105,8 @@
         try {
             config = Config.read(Path.of(file));
         } catch (IOException e) {
-            stderr.println("asterpulley serve: cannot read the configuration: " + e.getMessage());
+            stderr.println("asterpulley serve: cannot read the configuration " + file + ": "
+                    + e.getClass().getSimpleName());
             return 1;
         } catch (Json.Malformed e) {
             stderr.println("asterpulley serve: configuration: " + e.getMessage());
@@ -115,18 +116,22 @@
             Serve serve = new Serve(config);
             Signal.handle(new Signal("TERM"), s -> serve.end());
             Signal.handle(new Signal("HUP"), s -> serve.counted(book -> LOG.info(book.toString())));
-            LOG.info("serving " + config.name + " at " + config.listen + ", backends known "
+            LOG.info("serving " + config.name + " at " + text(config.listen) + ", backends known "
                     + config.known.servers().size() + ", sockets " + config.sockets);
             serve.await();
             return 0;
         } catch (IOException e) {
-            stderr.println("asterpulley serve: cannot listen at " + config.listen + ": " + e.getMessage());
+            stderr.println("asterpulley serve: cannot listen at " + text(config.listen) + ": " + e.getMessage());
             return 1;
         } catch (InterruptedException e) {
             return 1;
         }
     }
 
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalAddress();
     }
--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -85,6 +86,8 @@
         final BlockingQueue<End> tunnels = new LinkedBlockingQueue<>();
         final BlockingQueue<String> openings = new LinkedBlockingQueue<>();
         volatile String load = "x0=0.1,rif=1,busy=0.1";
+        /** Ends a probe's connection at the second question on it, unanswered. */
+        volatile boolean hangsUp;
 
         Backend() throws IOException {
             listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
@@ -106,6 +109,11 @@
                     return;
                 }
                 end.say("PONG " + load + "\r\n");
+                if (hangsUp) {
+                    end.line();
+                    end.close();
+                    return;
+                }
             }
         }
 
@@ -487,6 +495,41 @@
         assertEquals(3, counted("moved"));
     }
 
+    @Test
+    void whoWaitsForASilentBackendIsMovedAndABackendsOwnMoveGoesThrough() throws Exception {
+        Backend b = new Backend();
+        start(b.entry("s1", "up"));
+        End waiting = client("chat", 2000);
+        End silent = b.opens();
+        waiting.line();
+        End sentAway = client("chat", 2000);
+        End draining = b.opens();
+        sentAway.line();
+        waiting.say("anyone?\r\n");
+        draining.say("MOVE\r\n");
+        draining.close();
+        assertEquals("MOVE", sentAway.line());
+        assertNull(sentAway.line());
+        assertEquals("anyone?", silent.line());
+        assertEquals("MOVE", waiting.line());
+        assertNull(waiting.line());
+        assertNull(silent.line());
+        assertEquals(1, counted("ended_move"));
+        assertEquals(1, counted("moved_silent"));
+    }
+
+    @Test
+    void aProbeConnectionThatTheBackendClosedMeanwhileIsNoSilence() throws Exception {
+        Backend b = new Backend();
+        b.hangsUp = true;
+        start(b.entry("s1", "up"));
+        await("probes_answered", 4);
+        assertEquals(0, counted("probes_broken"));
+        End client = client("chat", 2000);
+        b.opens();
+        assertEquals("UP r1", client.line());
+    }
+
     // ---- Discovery
 
     @Test
@@ -524,6 +567,13 @@
         }
     }
 
+    @Test
+    void withoutAConfigurationItSaysSo() {
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        assertEquals(1, Serve.run(new PrintStream(err)));
+        assertEquals("asterpulley serve: LB_CONFIG names no configuration", err.toString().trim());
+    }
+
     @Test
     void howFarASetupHadComeTellsWhetherItMayHaveRun() {
         for (Failure.Reach reach : Failure.Reach.values()) {
