--- a/src/main/java/asterpulley/net/Dialer.java
+++ b/src/main/java/asterpulley/net/Dialer.java
@@ -13,25 +13,35 @@
  * It must never dial twice by itself.
  */
 final class Dialer {
+    private final Config config;
     private final TCPNIOTransport transport;
     private final Loop loop;
     private final Book book;
+    private final Discovery fleet;
 
-    Dialer(TCPNIOTransport transport, Loop loop, Book book) {
+    Dialer(Config config, TCPNIOTransport transport, Loop loop, Book book, Discovery fleet) {
+        this.config = config;
         this.transport = transport;
         this.loop = loop;
         this.book = book;
+        this.fleet = fleet;
+    }
+
+    /** Where this backend is reached now; null when that was never told. */
+    String address(String host) {
+        return fleet.dial(host);
     }
 
     /** Starts to connect; null when not even a socket could be had. */
-    Leg dial(String address, FilterChain chain, double timeout, Consumer<Leg> connected, Runnable failed) {
+    Leg dial(String host, FilterChain chain, double timeout, Consumer<Leg> connected, Runnable failed) {
+        String address = address(host);
         if (address == null) {
             loop.after(0, failed);
             return null;
         }
         Dial dial = new Dial(transport, connected, failed);
         dial.setProcessor(chain);
-        dial.timer = loop.after(timeout, dial::giveUp);
+        dial.timer = loop.after(Math.min(config.connectTimeout, timeout), dial::giveUp);
         dial.connect(Config.address(address), dial.result);
         return dial.leg;
     }
--- a/src/main/java/asterpulley/net/Probes.java
+++ b/src/main/java/asterpulley/net/Probes.java
@@ -1,5 +1,6 @@
 package asterpulley.net;
 
+import asterpulley.Settings;
 import java.util.HashMap;
 import java.util.Map;
 import org.glassfish.grizzly.Buffer;
@@ -31,26 +32,22 @@
         }
     }
 
-    private final Config config;
     private final Loop loop;
     private final Book book;
     private final Dialer dialer;
-    private final Discovery fleet;
     private final Route route;
     private final double patience;
     private final Map<String, Line> lines = new HashMap<>();
     private final Map<Leg, Line> byLeg = new HashMap<>();
     private FilterChain chain;
 
-    Probes(Config config, Loop loop, Book book, Dialer dialer, Discovery fleet, Route route) {
-        this.config = config;
+    Probes(Settings settings, Loop loop, Book book, Dialer dialer, Route route) {
         this.loop = loop;
         this.book = book;
         this.dialer = dialer;
-        this.fleet = fleet;
         this.route = route;
         // An answer that comes later than any tunnel's goal says that a tunnel would be too late there as well.
-        this.patience = config.settings.profiles.stream().mapToDouble(p -> p.setupGoal).min().orElse(0.5);
+        this.patience = settings.profiles.stream().mapToDouble(p -> p.setupGoal).min().orElse(0.5);
     }
 
     void through(FilterChain probes) {
@@ -78,7 +75,7 @@
         line.asked = true;
         line.askedAt = loop.now();
         line.patience = loop.after(patience, () -> failed(line, Failure.Cause.GIVEN_UP));
-        String address = fleet.dial(host);
+        String address = dialer.address(host);
         if (line.leg != null && !line.leg.closed() && address != null && !address.equals(line.address)) {
             // The backend is reached elsewhere now: what the old connection tells is not of it.
             drop(line.leg);
@@ -95,7 +92,7 @@
     private void dial(Line line) {
         line.fresh = true;
         line.reach = Failure.Reach.NOT_CONNECTED;
-        line.leg = dialer.dial(line.address, chain, Math.min(patience, config.connectTimeout), leg -> {
+        line.leg = dialer.dial(line.host, chain, patience, leg -> {
             line.leg = leg;
             byLeg.put(leg, line);
             if (line.asked) {
--- a/src/main/java/asterpulley/net/Send.java
+++ b/src/main/java/asterpulley/net/Send.java
@@ -17,20 +17,16 @@
     private static final double REOPEN_EVERY = 0.5;
     private static final double REOPEN_PATIENCE = 10;
 
-    private final Config config;
     private final Loop loop;
     private final Book book;
     private final Dialer dialer;
-    private final Discovery fleet;
     private final Route route;
     private FilterChain chain;
 
-    Send(Config config, Loop loop, Book book, Dialer dialer, Discovery fleet, Route route) {
-        this.config = config;
+    Send(Loop loop, Book book, Dialer dialer, Route route) {
         this.loop = loop;
         this.book = book;
         this.dialer = dialer;
-        this.fleet = fleet;
         this.route = route;
     }
 
@@ -47,7 +43,7 @@
         passage.sentAt = loop.now();
         passage.patience = loop.after(timeout, () -> failed(passage, n, Failure.Cause.GIVEN_UP));
         book.count("setups");
-        passage.backend = dialer.dial(fleet.dial(host), chain, Math.min(config.connectTimeout, timeout),
+        passage.backend = dialer.dial(host, chain, timeout,
                 leg -> connected(passage, n, leg, timeout), () -> failed(passage, n, Failure.Cause.BROKEN));
     }
 
--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -62,11 +62,11 @@
                 .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
         book.mostWaiting = (int) (config.memory * FOR_SLOW_READERS / SocketFilter.BUFFER);
         route = new Route(loop, book);
-        Dialer dialer = new Dialer(transport, loop, book);
         Discovery discovery = new Discovery(config, loop, book, route, transport);
-        Send send = new Send(config, loop, book, dialer, discovery, route);
+        Dialer dialer = new Dialer(config, transport, loop, book, discovery);
+        Send send = new Send(loop, book, dialer, route);
         relay = new Relay(loop, book, route, send);
-        Probes probes = new Probes(config, loop, book, dialer, discovery, route);
+        Probes probes = new Probes(config.settings, loop, book, dialer, route);
         SocketFilter sockets = new SocketFilter(transport, loop, book);
         Admit admit = new Admit(config.settings, book, new Random(config.seed), config.sockets - OWN_FILES);
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -34,7 +35,7 @@
 @Timeout(60)
 class ServeTest {
     private static final String OPEN = "OPEN 9b1f 7f3a c=%s,t=acme,d=%d,g=5c0f";
-    private final List<AutoCloseable> open = new ArrayList<>();
+    private final List<AutoCloseable> open = Collections.synchronizedList(new ArrayList<>());
     @TempDir
     Path folder;
 
@@ -90,15 +91,7 @@
         volatile boolean hangsUp;
 
         Backend() throws IOException {
-            listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-            open.add(listening);
-            background(() -> {
-                while (true) {
-                    End end = new End(listening.accept());
-                    open.add(end);
-                    background(() -> serve(end));
-                }
-            });
+            listening = listen(this::serve);
         }
 
         private void serve(End end) throws IOException {
@@ -145,15 +138,7 @@
         final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
 
         Registry() throws IOException {
-            listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-            open.add(listening);
-            background(() -> {
-                while (true) {
-                    End end = new End(listening.accept());
-                    open.add(end);
-                    background(() -> serve(end));
-                }
-            });
+            listening = listen(this::serve);
         }
 
         private void serve(End end) throws Exception {
@@ -182,6 +167,23 @@
         void run() throws Exception;
     }
 
+    private interface Host {
+        void serve(End end) throws Exception;
+    }
+
+    private ServerSocket listen(Host host) throws IOException {
+        ServerSocket listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        open.add(listening);
+        background(() -> {
+            while (true) {
+                End end = new End(listening.accept());
+                open.add(end);
+                background(() -> host.serve(end));
+            }
+        });
+        return listening;
+    }
+
     private static void background(Work work) {
         Thread thread = new Thread(() -> {
             try {
