What a slow reader has not read yet survives the end of both sides

Found by reading: with both directions ended, both connections were closed at once, whatever still waited to be written to either; and a slow reader that read on was taken for silent after 10 s.

--- a/src/main/java/asterpulley/net/Leg.java
+++ b/src/main/java/asterpulley/net/Leg.java
@@ -36,6 +36,9 @@
     Passage passage;
     private int waiting;
     private boolean endWhenWritten, ended, closed, lingering, deaf;
+    private boolean closeWhenWritten;
+    /** When something last went out: a slow reader that still reads is not a dead one. */
+    double wroteAt;
     private Leg feeder;
     private Runnable whenWritten;
 
@@ -104,6 +107,7 @@
 
     private void written() {
         book.waiting--;
+        wroteAt = loop.now();
         if (--waiting > 0) {
             return;
         }
@@ -114,6 +118,9 @@
         if (endWhenWritten) {
             endSending();
         }
+        if (closeWhenWritten) {
+            close();
+        }
         if (whenWritten != null) {
             Runnable what = whenWritten;
             whenWritten = null;
@@ -172,6 +179,15 @@
         loop.after(LINGER, this::close);
     }
 
+    /** Closes as soon as all is written: what a slow reader has not read yet is still its own. */
+    void closeInOrder() {
+        if (waiting > 0) {
+            closeWhenWritten = true;
+        } else {
+            close();
+        }
+    }
+
     void close() {
         if (!closed) {
             closed = true;
--- a/src/main/java/asterpulley/net/Relay.java
+++ b/src/main/java/asterpulley/net/Relay.java
@@ -144,8 +144,8 @@
             other.reset();
         } else if (passage.clientEnded && passage.backendEnded) {
             finish(passage, cause);
-            leg.close();
-            other.close();
+            leg.closeInOrder();
+            other.closeInOrder();
         } else {
             if (!byClient) {
                 finish(passage, cause);
@@ -161,7 +161,8 @@
         if (passage.client.closed() && passage.backend.closed()) {
             return;
         }
-        double quiet = loop.now() - passage.heardAt;
+        double moved = Math.max(passage.heardAt, Math.max(passage.client.wroteAt, passage.backend.wroteAt));
+        double quiet = loop.now() - moved;
         if (quiet < HALF_CLOSED) {
             loop.after(HALF_CLOSED - quiet, () -> halfClosed(passage));
             return;
--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -59,6 +59,7 @@
                 .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("relay").setCorePoolSize(1)
                         .setMaxPoolSize(1))
                 .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
+                .setReadBufferSize(SocketFilter.BUFFER)
                 .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
         book.mostWaiting = (int) (config.memory * FOR_SLOW_READERS / SocketFilter.BUFFER);
         route = new Route(loop, book);
