--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -486,6 +486,33 @@
         }
     }
 
+    @Test
+    void whatWaitsForASlowReaderOutlivesTheEndOfBothSides() throws Exception {
+        Backend b = new Backend();
+        start(b.entry("s1", "up"));
+        End client = client("chat", 2000);
+        End backend = b.opens();
+        client.line();
+        client.socket.shutdownOutput();
+        assertNull(backend.line());
+        byte[] chunk = new byte[4 * Words.LONGEST];
+        long sent = 0;
+        for (boolean waits = false; !waits;) {
+            backend.socket.getOutputStream().write(chunk);
+            sent += chunk.length;
+            await("bytes_to_clients", sent);
+            CompletableFuture<Boolean> waiting = new CompletableFuture<>();
+            serve.counted(book -> waiting.complete(book.waiting > 0));
+            waits = waiting.get(20, TimeUnit.SECONDS);
+        }
+        backend.close();
+        await("ended_broken", 1);
+        for (int n = client.in.read(chunk); n >= 0; n = client.in.read(chunk)) {
+            sent -= n;
+        }
+        assertEquals(0, sent);
+    }
+
     @Test
     void atItsEndARelayMovesEveryClientBetweenTwoLinesAndStillAnswers() throws Exception {
         Backend b = new Backend();
