--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -28,6 +28,8 @@
  */
 public final class Serve {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+    /** Held here: a logger that nobody holds is collected, and its level with it. */
+    private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
     /** Descriptors that are no connections: files of the program, selectors, the listening socket. */
     private static final int OWN_FILES = 40;
     /** The part of the memory that may hold what slow readers have not read. */
@@ -96,7 +98,7 @@
     /** Serves until told to end; returns the exit status. */
     public static int run(PrintStream stderr) {
         System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
-        Logger.getLogger("org.glassfish.grizzly").setLevel(Level.WARNING);
+        GRIZZLY.setLevel(Level.WARNING);
         String file = System.getenv("LB_CONFIG");
         if (file == null || file.isEmpty()) {
             stderr.println("asterpulley serve: LB_CONFIG names no configuration");
