SIGHUP reads the configuration anew and moves the watch to its discovery

Ruled out: the watch itself (it ran until SIGHUP, and calls to the old address kept failing: list_failures=6 of list_calls=6). At fault: Serve.run, whose SIGHUP handler only printed counters, and Config, read once. Now the file is read on the signal's thread, and the selector thread moves the watch and takes on the limits; an unreadable file is logged and kept out. Test: aNewConfigurationMovesTheWatchAndAnUnreadableOneChangesNothing.

--- a/src/main/java/asterpulley/net/Admit.java
+++ b/src/main/java/asterpulley/net/Admit.java
@@ -15,17 +15,23 @@
     private final Settings settings;
     private final Book book;
     private final Random random;
-    private final int room;
-    private final int reserve;
+    private int room;
+    private int reserve;
     private boolean crowded;
 
-    /** {@code room}: the sockets that tunnels, probes and newcomers may take together. */
-    Admit(Settings settings, Book book, Random random, int room) {
+    Admit(Settings settings, Book book, Random random) {
         this.settings = settings;
         this.book = book;
         this.random = random;
-        this.room = room;
-        this.reserve = Math.max(8, room / 16);
+    }
+
+    /**
+     * The sockets that tunnels, probes and newcomers may take together. The bound may change while tunnels stand:
+     * what is above a lower one leaves by itself, and nothing new comes meanwhile.
+     */
+    void room(int sockets) {
+        room = sockets;
+        reserve = Math.max(8, room / 16);
     }
 
     /** So many are waiting for an answer that even the reserve runs low: told at once, before a word is read. */
--- a/src/main/java/asterpulley/net/Config.java
+++ b/src/main/java/asterpulley/net/Config.java
@@ -13,8 +13,9 @@
 import java.util.Map;
 
 /**
- * Owns what this relay is told at its start: one file, read once. It must never be read again while the relay
- * runs, and what is wrong with it must be said in one plain line before a socket is opened.
+ * Owns what this relay is told: one file, read at its start and anew at every SIGHUP. Each reading is a value of its
+ * own that never changes; what is wrong with a file must be said in one plain line, and must never harm a relay that
+ * already runs on an earlier reading.
  */
 final class Config {
     final String name;
@@ -27,9 +28,10 @@
     final Settings settings;
     final Words words;
     final Words.Fleet known;
+    private final Map<String, Object> told;
 
     private Config(Map<String, Object> in) {
-        Map<String, Object> told = Json.object(in.get("settings"), "settings");
+        told = Json.object(in.get("settings"), "settings");
         name = Json.text(in, "name");
         listen = address(Json.text(in, "listen"));
         discovery = address(Json.text(in, "discovery"));
@@ -50,10 +52,15 @@
             parser.nextToken();
             return new Config(Json.object(Json.value(parser), "the configuration"));
         } catch (JsonProcessingException e) {
-            throw new Json.Malformed("not JSON: " + e.getOriginalMessage());
+            throw new Json.Malformed("not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
         }
     }
 
+    /** True where that reading asks for what only a new start can give: the module and the names are set up once. */
+    boolean needsStart(Config anew) {
+        return !told.equals(anew.told) || !name.equals(anew.name) || !listen.equals(anew.listen);
+    }
+
     private static long seed(String hex) {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/asterpulley/net/Discovery.java
+++ b/src/main/java/asterpulley/net/Discovery.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
@@ -24,7 +25,8 @@
 /**
  * Owns the watch on the list of backends, and where each is reached. One call waits at discovery all the time, and
  * the next goes out with the last answer, so that the watch never lapses. It must never keep a list that it was
- * told is over, and never ask again after a failure before the module says so.
+ * told is over, never forget one because discovery fails or moves, and never ask again after a failure before the
+ * module says so.
  */
 final class Discovery extends BaseFilter {
     private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
@@ -34,7 +36,10 @@
     /** A call that has no answer this long after its wait has none coming. */
     private static final double LATE = 1.5;
 
-    private final Config config;
+    /** The version of no list: the whole one is asked for. */
+    private static final long NONE = -1;
+
+    private final Words words;
     private final Loop loop;
     private final Book book;
     private final Route route;
@@ -42,12 +47,14 @@
     private final Map<String, String> dials = new HashMap<>();
     private FilterChain chain;
     private Connection<?> connection;
+    private InetSocketAddress address;
     private long version;
     private boolean watching, waiting, down;
     private int call;
 
     Discovery(Config config, Loop loop, Book book, Route route, TCPNIOTransport transport) {
-        this.config = config;
+        this.words = config.words;
+        this.address = config.discovery;
         this.loop = loop;
         this.book = book;
         this.route = route;
@@ -72,6 +79,21 @@
         }
     }
 
+    /**
+     * Moves the watch to another address, at once: news of the old one counts as told soon, heard or not. Versions
+     * there may be others', so the whole list is asked for; until it comes, the fleet stays as it was last told.
+     */
+    void moveTo(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        version = NONE;
+        hangUp();
+        watching = true;
+        call();
+    }
+
     private void call() {
         int n = ++call;
         waiting = true;
@@ -88,7 +110,7 @@
             }
         });
         connection = null;
-        dial.connect(config.discovery, new EmptyCompletionHandler<Connection>() {
+        dial.connect(address, new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection opened) {
                 if (call != n || !waiting) {
@@ -108,11 +130,13 @@
     }
 
     private void ask(int n) {
-        String host = config.discovery.getHostString() + ":" + config.discovery.getPort();
-        HttpRequestPacket request = HttpRequestPacket.builder().method("GET").uri(PATH)
-                .query("index=" + version + "&wait=" + Math.round(WAIT * 1000)).protocol("HTTP/1.1")
-                .header("Host", host).build();
-        connection.write(request);
+        String host = address.getHostString() + ":" + address.getPort();
+        HttpRequestPacket.Builder request = HttpRequestPacket.builder().method("GET").uri(PATH).protocol("HTTP/1.1")
+                .header("Host", host);
+        if (version != NONE) {
+            request.query("index=" + version + "&wait=" + Math.round(WAIT * 1000));
+        }
+        connection.write(request.build());
     }
 
     @Override
@@ -139,7 +163,7 @@
         Words.Fleet fleet;
         try (JsonParser parser = new JsonFactory().createParser(body)) {
             parser.nextToken();
-            fleet = config.words.fleet(Json.object(Json.value(parser), "the list"));
+            fleet = words.fleet(Json.object(Json.value(parser), "the list"));
         } catch (IOException | Json.Malformed e) {
             failed(call, "malformed: " + e.getMessage());
             return;
@@ -183,12 +207,16 @@
             down = true;
             LOG.info("discovery down (" + why + "), list " + version + " kept, backends " + dials.size());
         }
+        hangUp();
+        route.listFailed();
+    }
+
+    private void hangUp() {
         if (connection != null) {
             Connection<?> dead = connection;
             connection = null;
             book.sockets--;
             dead.terminateSilently();
         }
-        route.listFailed();
     }
 }
--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -42,18 +42,20 @@
     private static final double MOVES_OVER = 1.5;
     private static final double MOVES_STEP = 0.05;
 
-    private final Config config;
+    private Config config;
     private final Loop loop = new Loop();
     private final Book book = new Book();
     private final Route route;
     private final Relay relay;
+    private final Discovery discovery;
+    private final Admit admit;
     private final TCPNIOTransport transport;
-    private final TCPNIOServerConnection listener;
+    private TCPNIOServerConnection listener;
     private final CountDownLatch gone = new CountDownLatch(1);
     private double leavingSince;
     private double movesOwed;
 
-    /** Serves as soon as this returns. */
+    /** Decides from now on; nobody is accepted before {@link #open}. */
     Serve(Config config) throws IOException {
         this.config = config;
         transport = TCPNIOTransportBuilder.newInstance().setName("relay")
@@ -63,22 +65,22 @@
                 .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
                 .setReadBufferSize(SocketFilter.BUFFER)
                 .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
-        book.mostWaiting = (int) (config.memory * FOR_SLOW_READERS / SocketFilter.BUFFER);
         route = new Route(loop, book);
-        Discovery discovery = new Discovery(config, loop, book, route, transport);
+        discovery = new Discovery(config, loop, book, route, transport);
         Dialer dialer = new Dialer(config, transport, loop, book, discovery);
         Send send = new Send(loop, book, dialer, route);
         relay = new Relay(loop, book, route, send);
         Probes probes = new Probes(config.settings, loop, book, dialer, route);
         SocketFilter sockets = new SocketFilter(transport, loop, book);
-        Admit admit = new Admit(config.settings, book, new Random(config.seed), config.sockets - OWN_FILES);
+        admit = new Admit(config.settings, book, new Random(config.seed));
+        limits();
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
         probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
         discovery.through(FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter())
                 .add(discovery).build());
         transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
                 .add(new TakeIn(loop, config.words, book)).add(admit).add(route).add(relay).build());
-        // Timers and the module start as the loop's first work; nobody is accepted before.
+        // Timers and the module start as the loop's first work.
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
         loop.handIn(() -> {
@@ -92,9 +94,41 @@
         } catch (InterruptedException e) {
             throw new IOException("interrupted at the start");
         }
+    }
+
+    /** Serves as soon as this returns. */
+    void open() throws IOException {
         listener = transport.bind(config.listen);
     }
 
+    private void limits() {
+        book.mostWaiting = (int) (config.memory * FOR_SLOW_READERS / SocketFilter.BUFFER);
+        admit.room(config.sockets - OWN_FILES);
+    }
+
+    /**
+     * Told to read its configuration anew, from any thread but the loop's. A file that can't be read leaves the relay
+     * as it was. Two that come together are read one after the other, so that the later file is the one that holds.
+     */
+    synchronized void reload(Path file) {
+        try {
+            Config anew = Config.read(file);
+            loop.handIn(() -> changeTo(anew));
+        } catch (IOException | RuntimeException e) {
+            LOG.warning("configuration kept, the new one cannot be read: " + e.getMessage());
+        }
+    }
+
+    private void changeTo(Config anew) {
+        LOG.info("configuration read anew: discovery " + text(config.discovery) + " to " + text(anew.discovery)
+                + ", sockets " + anew.sockets + ", held " + book.held()
+                + (config.needsStart(anew) ? "; changes of name, listen and settings wait for a restart" : ""));
+        book.count("configurations");
+        config = anew;
+        limits();
+        discovery.moveTo(anew.discovery);
+    }
+
     /** Serves until told to end; returns the exit status. */
     public static int run(PrintStream stderr) {
         System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
@@ -118,7 +152,9 @@
         try {
             Serve serve = new Serve(config);
             Signal.handle(new Signal("TERM"), s -> serve.end());
-            Signal.handle(new Signal("HUP"), s -> serve.counted(book -> LOG.info(book.toString())));
+            Signal.handle(new Signal("HUP"), s -> serve.reload(Path.of(file)));
+            Signal.handle(new Signal("USR1"), s -> serve.counted(book -> LOG.info(book.toString())));
+            serve.open();
             LOG.info("serving " + config.name + " at " + text(config.listen) + ", backends known "
                     + config.known.servers().size() + ", sockets " + config.sockets);
             serve.await();
--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -159,7 +159,12 @@
         }
 
         void tells(int version, String... entries) {
-            String body = "{\"seq\":%d,\"whole\":false,\"hosts\":[%s]}".formatted(version, String.join(",", entries));
+            tells(version, false, entries);
+        }
+
+        void tells(int version, boolean whole, String... entries) {
+            String body = "{\"seq\":%d,\"whole\":%s,\"hosts\":[%s]}"
+                    .formatted(version, whole, String.join(",", entries));
             answers.add("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
                     .formatted(body.length(), body));
         }
@@ -219,8 +224,13 @@
     }
 
     private void start(String... entries) throws IOException {
-        serve = new Serve(config(1000, entries));
+        start(config(1000, entries));
+    }
+
+    private void start(Config config) throws IOException {
+        serve = new Serve(config);
         open.add(serve::kill);
+        serve.open();
     }
 
     private End connect() throws IOException {
@@ -299,8 +309,7 @@
     @Test
     void withoutSocketsToSpareNewcomersAreToldToComeBack() throws Exception {
         Backend b = new Backend();
-        serve = new Serve(config(40 + 20, b.entry("s1", "up")));
-        open.add(serve::kill);
+        start(config(40 + 20, b.entry("s1", "up")));
         List<End> standing = new ArrayList<>();
         String answer = null;
         while (standing.size() < 20 && (answer == null || answer.equals("UP r1"))) {
@@ -628,6 +637,41 @@
 
     // ---- What it is told
 
+    @Test
+    void aNewConfigurationMovesTheWatchAndAnUnreadableOneChangesNothing() throws Exception {
+        Backend one = new Backend();
+        Backend two = new Backend();
+        start(one.entry("s1", "up"));
+        End standing = client("chat", 2000);
+        End backend = one.opens();
+        standing.line();
+        registry.calls.take();
+        for (int version = 7; version < 9; version++) {
+            config(1000);
+            serve.reload(folder.resolve("config.json"));
+            assertEquals("/registry/instances", registry.calls.take(), "the whole list, of the new address");
+            End client = client("chat", 2000);
+            one.opens();
+            assertEquals("UP r1", client.line(), "the fleet is not forgotten meanwhile");
+            registry.tells(version, true, one.entry("s1", "up"));
+            assertTrue(registry.calls.take().startsWith("/registry/instances?index=" + version + "&"));
+        }
+        for (String unreadable : List.of("", "{", "[]", "{\"settings\":{}}")) {
+            Files.writeString(folder.resolve("config.json"), unreadable);
+            serve.reload(folder.resolve("config.json"));
+        }
+        serve.reload(folder.resolve("none.json"));
+        serve.reload(folder);
+        registry.tells(9, true, two.entry("s2", "up"));
+        assertTrue(registry.calls.take().startsWith("/registry/instances?index=9&"));
+        End client = client("chat", 2000);
+        two.opens();
+        assertEquals("UP r1", client.line());
+        backend.say("still here\r\n");
+        assertEquals("still here", standing.line());
+        assertEquals(2, counted("configurations"));
+    }
+
     @Test
     void aWrongConfigurationIsToldPlainly() throws Exception {
         Path file = folder.resolve("wrong.json");
