Openings are read to the letter, and silent newcomers end soon or give way

A trace of all first lines: 954 connections that never sent a line stayed open for 9.0 to 11.9 s each, until their side ended them; 84 openings brought the id of another client's tunnel with another key, 72 of them came to servers. At fault: TakeIn.WORDLESS of 30 s, Admit, which counted silent newcomers against tunnels, Route, which never looked at ids. Now Lobby ends newcomers without a line after 1.5 s and lets the longest silent go where a socket is needed; ids that are open or were of late get ERR, like all that is no opening to the letter; words before the answer end the tunnel; an answered connection is read on for 16 KB.

--- a/src/main/java/asterpulley/net/Admit.java
+++ b/src/main/java/asterpulley/net/Admit.java
@@ -14,14 +14,16 @@
 final class Admit extends BaseFilter {
     private final Settings settings;
     private final Book book;
+    private final Lobby lobby;
     private final Random random;
     private int room;
     private int reserve;
     private boolean crowded;
 
-    Admit(Settings settings, Book book, Random random) {
+    Admit(Settings settings, Book book, Lobby lobby, Random random) {
         this.settings = settings;
         this.book = book;
+        this.lobby = lobby;
         this.random = random;
     }
 
@@ -34,14 +36,17 @@
         reserve = Math.max(8, room / 16);
     }
 
-    /** So many are waiting for an answer that even the reserve runs low: told at once, before a word is read. */
+    /**
+     * Guards against crowds that connect and say nothing: the longest silent give way to whoever comes. Where nobody
+     * can, the newcomer is told at once, before a word is read, and its socket is free again.
+     */
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-        if (book.sockets > room - reserve / 2) {
+        if (!fits(room - reserve / 2)) {
             Leg leg = Leg.of(ctx.getConnection());
             book.count("declined_no_sockets");
             leg.line(Words.busy(comeBack()));
-            leg.linger();
+            leg.closeInOrder();
             return ctx.getStopAction();
         }
         return ctx.getInvokeAction();
@@ -50,7 +55,7 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         if (ctx.getMessage() instanceof Passage passage) {
-            boolean full = book.sockets + 1 > room - reserve;
+            boolean full = !fits(room - reserve - 1);
             // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free.
             if (full ? !crowded : crowded && book.sockets < room - reserve - reserve / 2) {
                 crowded = full;
@@ -66,6 +71,14 @@
         return ctx.getInvokeAction();
     }
 
+    private boolean fits(int most) {
+        boolean freed = true;
+        while (book.sockets > most && freed) {
+            freed = lobby.giveWay();
+        }
+        return book.sockets <= most;
+    }
+
     private double comeBack() {
         return settings.retryAfterHeard ? settings.longestRetryAfter * (0.5 + 0.5 * random.nextDouble()) : 0;
     }
--- a/src/main/java/asterpulley/net/Book.java
+++ b/src/main/java/asterpulley/net/Book.java
@@ -1,11 +1,13 @@
 package asterpulley.net;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.logging.Logger;
-import org.glassfish.grizzly.Buffer;
 
 /**
  * The last stage, book: owns the relay's counters and the record of every tunnel that it holds. What the other
@@ -15,8 +17,18 @@
 final class Book {
     private static final Logger LOG = Logger.getLogger(Book.class.getName());
 
+    /** Ids of ended tunnels that are remembered: some seconds' worth, in under a megabyte. */
+    private static final int ENDED_IDS = 4096;
+
     private final Map<String, Long> counters = new TreeMap<>();
     private final Map<Long, Passage> passages = new HashMap<>();
+    private final Set<String> openIds = new HashSet<>();
+    private final Map<String, Boolean> endedIds = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > ENDED_IDS;
+        }
+    };
     private long lastId;
     double lastAcceptedAt;
     /** Connections that are open, and those of them that only wait for a peer to read the last word. */
@@ -38,6 +50,14 @@
         return counters.getOrDefault(what, 0L);
     }
 
+    /**
+     * Remembers a client's id; false where it was seen before. Guards against clients that bring another's: ids are
+     * new with every connection, and two tunnels under one id would be one to the backends.
+     */
+    boolean firstSeen(String id) {
+        return !endedIds.containsKey(id) && openIds.add(id);
+    }
+
     /** Opens the record of a tunnel; its number is this relay's own, never a client's. */
     long enter(Passage passage) {
         passages.put(++lastId, passage);
@@ -58,6 +78,11 @@
 
     void leave(Passage passage) {
         passages.remove(passage.id);
+        openIds.remove(passage.opening.id());
+        endedIds.put(passage.opening.id(), true);
+        if (passage.overdue != null) {
+            passage.overdue.cancel();
+        }
     }
 
     /** Final answer: declined, come back after so many seconds (0: no advice). */
@@ -80,8 +105,6 @@
         passage.over = true;
         passage.client.line(line);
         passage.client.linger();
-        passage.early.forEach(Buffer::tryDispose);
-        passage.early.clear();
         leave(passage);
     }
 
--- a/src/main/java/asterpulley/net/Dialer.java
+++ b/src/main/java/asterpulley/net/Dialer.java
@@ -17,13 +17,15 @@
     private final TCPNIOTransport transport;
     private final Loop loop;
     private final Book book;
+    private final Lobby lobby;
     private final Discovery fleet;
 
-    Dialer(Config config, TCPNIOTransport transport, Loop loop, Book book, Discovery fleet) {
+    Dialer(Config config, TCPNIOTransport transport, Loop loop, Book book, Lobby lobby, Discovery fleet) {
         this.config = config;
         this.transport = transport;
         this.loop = loop;
         this.book = book;
+        this.lobby = lobby;
         this.fleet = fleet;
     }
 
@@ -76,7 +78,7 @@
 
         @Override
         protected void preConfigure(Connection connection) {
-            leg = new Leg(connection, loop, book);
+            leg = new Leg(connection, loop, book, lobby);
         }
 
         private void giveUp() {
--- a/src/main/java/asterpulley/net/Gather.java
+++ b/src/main/java/asterpulley/net/Gather.java
@@ -10,24 +10,25 @@
 final class Gather {
     private byte[] bytes = new byte[128];
     private int size;
-    private boolean tooLong;
+    private boolean tooLong, bare;
 
     /** The next whole line, without its end; null when it is still to come. What follows it stays in the buffer. */
     String next(Buffer in) {
         while (in.hasRemaining()) {
             byte b = in.get();
             if (b == '\n') {
-                int end = size > 0 && bytes[size - 1] == '\r' ? size - 1 : size;
+                bare = size == 0 || bytes[size - 1] != '\r';
+                int end = bare ? size : size - 1;
                 String line = new String(bytes, 0, end, Words.BYTES);
                 size = 0;
                 return line;
             }
             if (size == bytes.length) {
-                if (size >= Words.LONGEST) {
+                if (size >= Words.LONGEST - 1) {
                     tooLong = true;
                     continue;
                 }
-                bytes = Arrays.copyOf(bytes, 2 * size);
+                bytes = Arrays.copyOf(bytes, Math.min(2 * size, Words.LONGEST - 1));
             }
             bytes[size++] = b;
         }
@@ -39,6 +40,11 @@
         return tooLong;
     }
 
+    /** True when the last line ended without its carriage return. */
+    boolean bare() {
+        return bare;
+    }
+
     /** True between two lines. */
     boolean between() {
         return size == 0;
--- a/src/main/java/asterpulley/net/Leg.java
+++ b/src/main/java/asterpulley/net/Leg.java
@@ -23,8 +23,8 @@
 final class Leg {
     /** Buffers that wait for a slow reader before its sender is no longer read from, however little each holds. */
     private static final int MOST_WAITING = 16;
-    /** A peer that was told the last word is waited for this long, so that a reset does not destroy that word. */
-    private static final double LINGER = 1;
+    /** What a peer still sends after its last word is read so far and no further: it may be without end. */
+    private static final int HEEDLESS = 4 * SocketFilter.BUFFER;
     private static final Attribute<Leg> LEG = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("leg");
 
     final Connection<SocketAddress> connection;
@@ -32,21 +32,26 @@
     final double since;
     private final Loop loop;
     private final Book book;
+    private final Lobby lobby;
+    /** The front's checks that it answered. */
+    int checks;
     /** The tunnel that it belongs to, once there is one. */
     Passage passage;
-    private int waiting;
+    private int waiting, heedless;
     private boolean endWhenWritten, ended, closed, lingering, deaf;
     private boolean closeWhenWritten;
     /** When something last went out: a slow reader that still reads is not a dead one. */
     double wroteAt;
+    double lingeringSince;
     private Leg feeder;
     private Runnable whenWritten;
 
     @SuppressWarnings("unchecked")
-    Leg(Connection<?> connection, Loop loop, Book book) {
+    Leg(Connection<?> connection, Loop loop, Book book, Lobby lobby) {
         this.connection = (Connection<SocketAddress>) connection;
         this.loop = loop;
         this.book = book;
+        this.lobby = lobby;
         since = loop.now();
         book.sockets++;
         LEG.set(connection, this);
@@ -173,10 +178,19 @@
             return;
         }
         lingering = true;
+        lingeringSince = loop.now();
         book.lingering++;
+        lobby.leaves(this);
         reading(true);
         endSending();
-        loop.after(LINGER, this::close);
+    }
+
+    /** So much came after the last word. Who sends without end fills its own buffers from here on, not our time. */
+    void heedless(int bytes) {
+        heedless += bytes;
+        if (heedless > HEEDLESS) {
+            reading(false);
+        }
     }
 
     /** Closes as soon as all is written: what a slow reader has not read yet is still its own. */
--- /dev/null
+++ b/src/main/java/asterpulley/net/Lobby.java
@@ -0,0 +1,73 @@
+package asterpulley.net;
+
+import java.util.ArrayDeque;
+
+/**
+ * Owns the connections that hold a socket but no tunnel: newcomers whose line is still to come, and leavers that have
+ * heard their last word. It bounds how long each may stay, and lets the oldest go where a socket is needed. It must
+ * never end a connection that a tunnel uses, nor one that has hardly had the time to say its line.
+ */
+final class Lobby {
+    /** A client says its line as it connects: who does not in this time holds a socket that another could use. */
+    private static final double WORDLESS = 1.5;
+    /** The front may keep the connection of its checks. */
+    private static final double CHECKED = 60;
+    /** A newcomer gives way to another only after this: its line may be on its way. */
+    private static final double FIRST_WORDS = 0.1;
+    /** A peer that was told the last word is waited for this long, so that a reset does not destroy that word. */
+    private static final double LINGER = 1;
+    private static final double SWEEP = 0.1;
+
+    private final Loop loop;
+    private final Book book;
+    private final ArrayDeque<Leg> newcomers = new ArrayDeque<>();
+    private final ArrayDeque<Leg> leavers = new ArrayDeque<>();
+
+    Lobby(Loop loop, Book book) {
+        this.loop = loop;
+        this.book = book;
+    }
+
+    /** Starts the watch over who stays too long. */
+    void start() {
+        double now = loop.now();
+        newcomers.removeIf(leg -> leg.closed() || leg.lingering() || leg.passage != null
+                || now - leg.since > (leg.checks > 0 ? CHECKED : WORDLESS) && gone(leg, "wordless"));
+        leavers.removeIf(leg -> leg.closed() || now - leg.lingeringSince > LINGER && gone(leg, "lingered"));
+        loop.after(SWEEP, this::start);
+    }
+
+    void comes(Leg leg) {
+        newcomers.add(leg);
+    }
+
+    void leaves(Leg leg) {
+        leavers.add(leg);
+    }
+
+    /** Frees a socket where somebody can spare one: who was answered already, else who was silent the longest. */
+    boolean giveWay() {
+        for (Leg leg = leavers.poll(); leg != null; leg = leavers.poll()) {
+            if (!leg.closed()) {
+                return gone(leg, "gave_way");
+            }
+        }
+        for (Leg leg = newcomers.peek(); leg != null; leg = newcomers.peek()) {
+            boolean waits = !leg.closed() && !leg.lingering() && leg.passage == null;
+            if (waits && loop.now() - leg.since < FIRST_WORDS) {
+                return false;
+            }
+            newcomers.poll();
+            if (waits) {
+                return gone(leg, "gave_way");
+            }
+        }
+        return false;
+    }
+
+    private boolean gone(Leg leg, String why) {
+        book.count(why);
+        leg.close();
+        return true;
+    }
+}
--- a/src/main/java/asterpulley/net/Passage.java
+++ b/src/main/java/asterpulley/net/Passage.java
@@ -1,9 +1,6 @@
 package asterpulley.net;
 
 import asterpulley.Balance;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import org.glassfish.grizzly.Buffer;
 
 /**
  * Owns what the stages know of one tunnel while it passes them: its client's line and connection, the setup that
@@ -24,12 +21,10 @@
     boolean out;
     Failure.Reach reach = Failure.Reach.NOT_CONNECTED;
     double sentAt;
-    Loop.Due patience;
+    Loop.Due patience, overdue;
 
     /** The client has its final answer; it stands; nothing more can happen to it. */
     boolean answered, standing, over;
-    /** What the client sent before its answer. */
-    final Deque<Buffer> early = new ArrayDeque<>();
     /** The backend's last word, where it said one. */
     Failure.Cause farewell;
     boolean moving;
--- a/src/main/java/asterpulley/net/Relay.java
+++ b/src/main/java/asterpulley/net/Relay.java
@@ -13,8 +13,6 @@
 final class Relay extends BaseFilter {
     /** One side has ended and the other says nothing this long: it holds sockets for nobody. */
     private static final double HALF_CLOSED = 10;
-    /** A client that speaks before its answer is not read from beyond this many buffers. */
-    private static final int MOST_EARLY = 16;
     /** A client must not wait for ever for a silent backend: it is moved in time before the platform's bound. */
     private static final double SILENT = 6;
     private static final double SWEEP = 0.25;
@@ -55,10 +53,10 @@
         } else if (!passage.standing && (passage.over || !fromClient)) {
             ((Buffer) message).tryDispose();
         } else if (!passage.standing) {
-            passage.early.add((Buffer) message);
-            if (passage.early.size() >= MOST_EARLY) {
-                leg.reading(false);
-            }
+            // A client waits for its answer: words before it are no client's, and no backend shall have to read them.
+            ((Buffer) message).tryDispose();
+            book.count("early_words");
+            route.drop(passage);
         } else if (fromClient) {
             toBackend(passage, (Buffer) message);
         } else {
--- a/src/main/java/asterpulley/net/Route.java
+++ b/src/main/java/asterpulley/net/Route.java
@@ -91,7 +91,7 @@
                 book.closeWithError(passage);
             }
             if (budget > 0 && !passage.answered) {
-                loop.after(budget, () -> overdue(passage));
+                passage.overdue = loop.after(budget, () -> overdue(passage));
             }
         }
         return ctx.getStopAction();
@@ -101,12 +101,17 @@
     void overdue(Passage passage) {
         if (!passage.answered) {
             book.count("overdue");
-            withdrawn(passage);
-            send.abandon(passage);
-            book.closeWithError(passage);
+            drop(passage);
         }
     }
 
+    /** No further setup, the one that is out is given up, and the client is told. */
+    void drop(Passage passage) {
+        withdrawn(passage);
+        send.abandon(passage);
+        book.closeWithError(passage);
+    }
+
     void opened(Passage passage) {
         Words.Opening o = passage.opening;
         if (passage.handle == null) {
--- a/src/main/java/asterpulley/net/Send.java
+++ b/src/main/java/asterpulley/net/Send.java
@@ -114,10 +114,6 @@
         passage.answered = true;
         book.count("opened");
         passage.client.line(line);
-        while (!passage.early.isEmpty()) {
-            leg.write(passage.early.poll(), passage.client);
-        }
-        passage.client.reading(true);
         if (passage.clientEnded) {
             // It ended its sending behind its line, and only that: the backend is told so, and it gets its answer.
             leg.endSending();
--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -65,26 +65,28 @@
                 .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
                 .setReadBufferSize(SocketFilter.BUFFER)
                 .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
+        Lobby lobby = new Lobby(loop, book);
         route = new Route(loop, book);
         discovery = new Discovery(config, loop, book, route, transport);
-        Dialer dialer = new Dialer(config, transport, loop, book, discovery);
+        Dialer dialer = new Dialer(config, transport, loop, book, lobby, discovery);
         Send send = new Send(loop, book, dialer, route);
         relay = new Relay(loop, book, route, send);
         Probes probes = new Probes(config.settings, loop, book, dialer, route);
-        SocketFilter sockets = new SocketFilter(transport, loop, book);
-        admit = new Admit(config.settings, book, new Random(config.seed));
+        SocketFilter sockets = new SocketFilter(transport, loop, book, lobby);
+        admit = new Admit(config.settings, book, lobby, new Random(config.seed));
         limits();
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
         probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
         discovery.through(FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter())
                 .add(discovery).build());
         transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
-                .add(new TakeIn(loop, config.words, book)).add(admit).add(route).add(relay).build());
+                .add(new TakeIn(loop, config.words, book, lobby)).add(admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
         loop.handIn(() -> {
             route.start(config, send, relay, probes, discovery);
+            lobby.start();
             relay.start();
             probes.start();
             started.countDown();
--- a/src/main/java/asterpulley/net/SocketFilter.java
+++ b/src/main/java/asterpulley/net/SocketFilter.java
@@ -29,16 +29,18 @@
     private final TCPNIOTransport transport;
     private final Loop loop;
     private final Book book;
+    private final Lobby lobby;
 
-    SocketFilter(TCPNIOTransport transport, Loop loop, Book book) {
+    SocketFilter(TCPNIOTransport transport, Loop loop, Book book, Lobby lobby) {
         this.transport = transport;
         this.loop = loop;
         this.book = book;
+        this.lobby = lobby;
     }
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-        new Leg(ctx.getConnection(), loop, book);
+        new Leg(ctx.getConnection(), loop, book, lobby);
         return ctx.getInvokeAction();
     }
 
@@ -66,6 +68,8 @@
         if (leg.lingering()) {
             if (got < 0) {
                 leg.close();
+            } else {
+                leg.heedless(got);
             }
             return ctx.getStopAction();
         }
--- a/src/main/java/asterpulley/net/TakeIn.java
+++ b/src/main/java/asterpulley/net/TakeIn.java
@@ -7,33 +7,27 @@
 
 /**
  * The first stage, take in: owns a client's connection until its first line is whole. It answers the front's
- * checks, turns an opening into a tunnel and hands that on. It must never pass on what is not an opening.
+ * checks, turns an opening into a tunnel and hands that on; whatever else comes is answered and ended at once. It
+ * must never pass on what is not an opening to the letter, and never wait for a client that does not speak.
  */
 final class TakeIn extends BaseFilter {
-    /** A client that says nothing this long holds a socket that another could use. */
-    private static final double WORDLESS = 30;
-
     private final Loop loop;
     private final Words words;
     private final Book book;
+    private final Lobby lobby;
 
-    TakeIn(Loop loop, Words words, Book book) {
+    TakeIn(Loop loop, Words words, Book book, Lobby lobby) {
         this.loop = loop;
         this.words = words;
         this.book = book;
+        this.lobby = lobby;
     }
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-        Leg leg = Leg.of(ctx.getConnection());
         book.count("accepted");
         book.lastAcceptedAt = loop.now();
-        loop.after(WORDLESS, () -> {
-            if (leg.passage == null && !leg.closed()) {
-                book.count("wordless");
-                leg.close();
-            }
-        });
+        lobby.comes(Leg.of(ctx.getConnection()));
         return ctx.getInvokeAction();
     }
 
@@ -47,34 +41,28 @@
             leg.close();
             return ctx.getStopAction();
         }
-        boolean malformed = false;
-        for (String line = leg.gather.next(in); line != null; line = leg.gather.next(in)) {
-            if (line.equals(Words.PING)) {
-                book.count("pings");
-                leg.line(Words.PONG);
-                continue;
-            }
-            Words.Opening opening = leg.gather.tooLong() ? null : words.opening(line);
-            if (opening == null) {
-                malformed = true;
-                break;
-            }
-            book.count("taken");
-            Passage passage = new Passage(leg, opening, loop.now());
-            if (in.hasRemaining()) {
-                passage.early.add(in);
-            } else {
-                in.tryDispose();
-            }
-            ctx.setMessage(passage);
-            return ctx.getInvokeAction();
+        String line = leg.gather.next(in);
+        // A client waits for the answer to its line: what has more behind it is none, and nothing of it is heeded.
+        boolean wrong = leg.gather.tooLong() || line != null && (leg.gather.bare() || in.hasRemaining());
+        in.tryDispose();
+        if (line == null && !wrong) {
+            return ctx.getStopAction();
         }
-        if (malformed || leg.gather.tooLong()) {
-            book.count("malformed");
-            leg.line(Words.MALFORMED);
+        if (!wrong && line.equals(Words.PING)) {
+            book.count("pings");
+            leg.checks++;
+            leg.line(Words.PONG);
+            return ctx.getStopAction();
+        }
+        Words.Opening opening = wrong ? null : words.opening(line);
+        if (opening == null || !book.firstSeen(opening.id())) {
+            book.count(opening == null ? "malformed" : "repeated_ids");
+            leg.line(Words.ERR);
             leg.linger();
+            return ctx.getStopAction();
         }
-        in.tryDispose();
-        return ctx.getStopAction();
+        book.count("taken");
+        ctx.setMessage(new Passage(leg, opening, loop.now()));
+        return ctx.getInvokeAction();
     }
 }
--- a/src/main/java/asterpulley/net/Words.java
+++ b/src/main/java/asterpulley/net/Words.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Owns the words of the platform's line protocol and of its discovery: lines and entries are read into the relay's
@@ -24,13 +25,17 @@
     static final String PONG = "PONG";
     static final String MOVE = "MOVE";
     static final String ERR = "ERR";
-    static final String MALFORMED = "SYNTAX";
     static final String PING = "PING";
     static final String STATS = "STATS";
     static final String NO = "NO";
 
-    /** A client's first line; {@code patience} is NaN where it names none. */
-    record Opening(String key, int profile, int customer, String group, double patience, String at,
+    private static final Pattern MARK = Pattern.compile("[0-9a-fA-F]{1,32}");
+    /** No blank, no control character. */
+    private static final Pattern PLAIN = Pattern.compile("[!-~\\x80-\\xff]+");
+    private static final Pattern MILLISECONDS = Pattern.compile("[1-9][0-9]{0,9}");
+
+    /** A client's first line; {@code patience} is NaN where it names none, as only a standing tunnel's may. */
+    record Opening(String id, String key, int profile, int customer, String group, double patience, String at,
             String beforePatience, String afterPatience) {
         /** The line for a backend: unchanged but for how long this relay will wait. */
         String line(double wait) {
@@ -63,46 +68,40 @@
         return places;
     }
 
-    /** Null where the line is not an opening, or one of a profile that no setting tells how to treat. */
+    /**
+     * Null where the line is not an opening to the letter: backends close on what they cannot read, and what one
+     * client sent must never cost another its tunnel.
+     */
     Opening opening(String line) {
-        String[] w = line.split(" ", 4);
-        if (w.length != 4 || !w[0].equals("OPEN") || w[1].isEmpty()) {
+        String[] w = line.split(" ", -1);
+        if (w.length != 4 || !w[0].equals("OPEN") || !MARK.matcher(w[1]).matches() || !MARK.matcher(w[2]).matches()
+                || !PLAIN.matcher(w[3]).matches()) {
             return null;
         }
-        Integer profile = 0;
-        int customer = 0;
-        String group = null;
-        String at = null;
-        double patience = Double.NaN;
+        Map<String, String> named = new HashMap<>();
         String before = line;
         String after = null;
         int from = line.length() - w[3].length();
-        for (String pair : w[3].split(",")) {
+        for (String pair : w[3].split(",", -1)) {
             int eq = pair.indexOf('=');
-            String value = pair.substring(eq + 1);
-            switch (eq < 0 ? "" : pair.substring(0, eq)) {
-                case "c" -> profile = profiles.get(value);
-                case "t" -> customer = customers.getOrDefault(value, 0);
-                case "g" -> group = value;
-                case "at" -> at = value;
-                case "d" -> {
-                    try {
-                        patience = Long.parseLong(value) / 1000.0;
-                    } catch (NumberFormatException e) {
-                        return null;
-                    }
-                    before = line.substring(0, from + eq + 1);
-                    after = line.substring(from + pair.length());
-                }
-                default -> {
-                }
+            if (eq <= 0 || named.put(pair.substring(0, eq), pair.substring(eq + 1)) != null) {
+                return null;
+            }
+            if (pair.startsWith("d=")) {
+                before = line.substring(0, from + 2);
+                after = line.substring(from + pair.length());
             }
             from += pair.length() + 1;
         }
-        if (profile == null || patience <= 0) {
-            return null;
-        }
-        return new Opening(w[2], profile, customer, group, patience, at, before, after);
+        Integer profile = profiles.get(named.get("c"));
+        String customer = named.get("t");
+        String at = named.get("at");
+        String patience = named.get("d");
+        boolean wrong = profile == null || customer != null && !customers.isEmpty() && !customers.containsKey(customer)
+                || patience == null && at == null || patience != null && !MILLISECONDS.matcher(patience).matches()
+                || "".equals(at);
+        return wrong ? null : new Opening(w[1], w[2], profile, customers.getOrDefault(customer, 0), named.get("g"),
+                patience == null ? Double.NaN : Long.parseLong(patience) / 1000.0, at, before, after);
     }
 
     static String busy(double retryAfter) {
