A leaving relay serves its standing clients until the kill is near

Ruled out: lost tunnels (none), slow leaving (1.5 s of the 3.7 there are). At fault: Serve.leaving, which moved at once, and LEAVE, which took 3.7 s for granted whatever client timeouts are told.

--- a/src/main/java/asterpulley/net/Serve.java
+++ b/src/main/java/asterpulley/net/Serve.java
@@ -36,10 +36,15 @@
     private static final double FOR_SLOW_READERS = 0.1;
     /** A restart leaves newcomers coming for less than this, and their lines come within it. */
     private static final double NEWCOMERS = 0.6;
-    /** The platform kills no sooner than 3.7 s after the signal; the rest is for last words to arrive. */
-    private static final double LEAVE = 3.3;
+    /** The platform kills no sooner than the longest client timeout, 3 s at most, and this after the signal. */
+    private static final double KILL_AFTER = 0.7;
+    private static final double LONGEST_WAIT = 3;
+    /** The rest before that is for last words to arrive, on a machine that may have part of a core. */
+    private static final double LAST_WORDS = 0.3;
     /** Standing clients are moved over this time, so that they do not all come to the siblings at once. */
-    private static final double MOVES_OVER = 1.5;
+    private static final double MOVES_OVER = 1;
+    /** They are served as long as that leaves room, but moved so much before the last moment. */
+    private static final double MOVED_BEFORE = 0.4;
     private static final double MOVES_STEP = 0.05;
 
     private Config config;
@@ -52,7 +57,7 @@
     private final TCPNIOTransport transport;
     private TCPNIOServerConnection listener;
     private final CountDownLatch gone = new CountDownLatch(1);
-    private double leavingSince;
+    private double leavingSince, leave;
     private double movesOwed;
 
     /** Decides from now on; nobody is accepted before {@link #open}. */
@@ -197,31 +202,40 @@
         transport.shutdownNow();
     }
 
-    /** Told to end: newcomers are still answered, what is pending is settled, whoever stands is moved. */
+    /**
+     * Told to end: newcomers are still answered, what is pending is settled, whoever stands is moved. Guards against
+     * clients with nowhere to go: the siblings may be full, or restart as well, so none is moved before it must be.
+     */
     private void leave() {
         if (leavingSince == 0) {
             leavingSince = loop.now();
+            double longest = config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0);
+            leave = Math.min(LONGEST_WAIT, longest) + KILL_AFTER - LAST_WORDS;
             LOG.info("leaving, held " + book.held());
+            book.count("leaving");
             leaving();
         }
     }
 
     private void leaving() {
         double since = loop.now() - leavingSince;
-        movesOwed += Math.max(1, book.held() * MOVES_STEP / Math.max(MOVES_STEP, MOVES_OVER - since));
+        double left = leave - MOVED_BEFORE - since;
+        if (left < MOVES_OVER) {
+            movesOwed += Math.max(1, book.held() * MOVES_STEP / Math.max(MOVES_STEP, left));
+        }
         for (Passage passage : book.all()) {
             if (passage.standing && !passage.moving && movesOwed >= 1) {
                 movesOwed--;
                 relay.move(passage);
             }
         }
-        if (since > LEAVE) {
+        if (since > leave) {
             // What is still pending now gets its answer before the kill instead of none.
             book.all().forEach(route::overdue);
         }
         // A newcomer's line may still be on its way: whoever was accepted of late is waited for.
         boolean quiet = Math.min(since, loop.now() - book.lastAcceptedAt) > NEWCOMERS;
-        if (book.held() == 0 && book.lingering == 0 && quiet || since > LEAVE + 2 * MOVES_STEP) {
+        if (book.held() == 0 && book.lingering == 0 && quiet || since > leave + 2 * MOVES_STEP) {
             LOG.info("left after " + Math.round(since * 1000) + " ms");
             LOG.info(book.toString());
             gone.countDown();
--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -622,7 +622,7 @@
         Backend b = new Backend();
         start(b.entry("s1", "up"));
         End idle = client("chat", 2000);
-        b.opens();
+        End served = b.opens();
         idle.line();
         End midLine = client("chat", 2000);
         End backend = b.opens();
@@ -630,6 +630,9 @@
         backend.say("half a ");
         await("bytes_to_clients", 7);
         serve.end();
+        await("leaving", 1);
+        served.say("still here\r\n");
+        assertEquals("still here", idle.line(), "served as long as there is time");
         assertEquals("MOVE", idle.line());
         assertNull(idle.line());
         backend.say("line\r\n");
