--- /dev/null
+++ b/src/test/java/asterpulley/DeployTest.java
@@ -0,0 +1,42 @@
+package asterpulley;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What operators start, with a stand-in for the JVM that only tells how it was called. */
+class DeployTest {
+    @TempDir
+    Path folder;
+
+    private String runWith(String config) throws Exception {
+        Path java = folder.resolve("java");
+        Files.writeString(java, "#!/bin/sh\necho \"$@\"\n");
+        assertTrue(java.toFile().setExecutable(true));
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config);
+        ProcessBuilder run = new ProcessBuilder("sh", "deploy/run").redirectErrorStream(true);
+        run.environment().merge("PATH", folder.toString(), (old, ours) -> ours + ":" + old);
+        run.environment().put("LB_CONFIG", file.toString());
+        Process process = run.start();
+        String called = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, process.waitFor(), called);
+        return called;
+    }
+
+    @Test
+    void theHeapIsWhatTheToldMemoryLeavesForIt() throws Exception {
+        String limits = "{\"limits\":{\"cores\":0.5,\n \"memory_mb\" : %d,\"sockets\":384},\"settings\":{}}";
+        for (int[] c : new int[][] {{192, 124}, {144, 82}, {96, 40}, {64, 12}, {32, 12}}) {
+            String called = runWith(limits.formatted(c[0]));
+            assertTrue(called.contains(" -Xmx" + c[1] + "m "), c[0] + ": " + called);
+            assertTrue(called.endsWith(" serve\n"), called);
+        }
+        assertTrue(runWith("{}").contains(" -Xmx124m "), "without a limit, as for the largest");
+    }
+}
