Servers full by own placements alone are sought before a tunnel is declined

Ruled out: true crowding (reports of 0.4 to 0.7 followed), the window on setups (1 of 8 out). At fault: seekFirst, which sought old reports only of a server that still looked the best.

--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -71,7 +71,6 @@
     private final Front front;
     private final Random random;
 
-    // Figures of servers under a dense index.
     private final Map<String, Integer> index = new HashMap<>();
     private final Map<String, Integer> holders = new HashMap<>();
     private int n, zones = 1;
@@ -88,16 +87,14 @@
     private final Map<String, int[]> groups = new HashMap<>();
     private final Map<String, int[]> orders = new HashMap<>();
 
-    // What was learned.
     private final double[] profileLoad, profileSeen;
     private final double[] modelHeld = new double[64], modelLoad = new double[64];
-    private int ownOpen;
+    private int ownOpen, inFlight;
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
     private double arrivals = 1, arrivalsAt, listBackOff = 0.5;
     private boolean declining, shared, heldTold;
     private double window = WINDOW, windowCutAt, fullAt;
-    private int inFlight;
     private double moveCredit = 5;
 
     private record Placement(double at, double step) {
@@ -208,9 +205,7 @@
                 ranAt = sentAt;
             }
             failed(s, outcome);
-            if (last) {
-                done = true;
-            }
+            done |= last;
             if (!done) {
                 place(this);
             }
@@ -346,8 +341,7 @@
         boolean harmless = !tun.mayHaveRun || tun.kind.kind == Settings.Kind.REPEATABLE
                 || tun.kind.kind == Settings.Kind.REFERENCED && tun.kind.reach == Settings.Reach.ALL;
         if (harmless) {
-            double back = set.retryAfterHeard ? set.longestRetryAfter * (0.5 + 0.5 * random.nextDouble()) : 0;
-            front.decline(tun, back);
+            front.decline(tun, set.longestRetryAfter * (0.5 + 0.5 * random.nextDouble()));
         } else {
             front.closeWithError(tun);
         }
@@ -430,15 +424,22 @@
         return best;
     }
 
-    /** A relay with few tunnels cannot seek all servers all the time: it seeks the best for this one now. */
+    /** A relay with few tunnels cannot seek all servers all the time: it seeks what counts for this one. */
     private boolean seekFirst(Tunnel tun) {
         double now = front.now();
         BitSet barred = barred(tun);
         int s = best(tun, barred);
-        if (s < 0 || now - seenAt[s] < STALE || now - tun.since > SEEK_WAIT * tun.kind.setupGoal) {
+        if (s >= 0 && now - seenAt[s] < STALE || now - tun.since > SEEK_WAIT * tun.kind.setupGoal) {
             return false;
         }
         tun.sought.clear();
+        // Full by own placements alone: a report may know of room by now, so nothing is declined without it.
+        for (int k = 0; s < 0 && k < n; k++) {
+            if (ready(k) && load[k] < FULL && crowd(k) >= FULL && now - seenAt[k] > FASTEST_SEEK) {
+                seek(k);
+                tun.sought.set(k);
+            }
+        }
         for (int k = 0; s >= 0 && k < SOUGHT; k++) {
             if (now - seenAt[s] > STALE) {
                 seek(s);
@@ -447,7 +448,7 @@
             barred.set(s);
             s = best(tun, barred);
         }
-        return waiting.add(tun);
+        return !tun.sought.isEmpty() && waiting.add(tun);
     }
 
     private void seek(int s) {
@@ -692,9 +693,8 @@
             return;
         }
         int s = index.get(server);
-        double now = front.now();
         seeking[s] = false;
-        seekAt[s] = now + seekEvery(s) * (0.9 + 0.2 * random.nextDouble());
+        seekAt[s] = front.now() + seekEvery(s) * (0.9 + 0.2 * random.nextDouble());
         told(s, outcome, report);
         settle();
     }
--- a/src/main/java/asterpulley/Settings.java
+++ b/src/main/java/asterpulley/Settings.java
@@ -25,7 +25,7 @@
     public int zone;
     public boolean listMustBeAsked;
     public boolean probesAllowed;
-    public boolean retryAfterHeard;
+    /** 0: clients are not told when to come back. */
     public double longestRetryAfter;
     public int mostSetups = 1;
     public double tick = 0.001;
--- a/src/main/java/asterpulley/decode/SettingsDecoder.java
+++ b/src/main/java/asterpulley/decode/SettingsDecoder.java
@@ -31,8 +31,7 @@
         s.packetsPass = "pass".equals(Json.part(in, "familyInfo").get("mode"));
         s.groupsShareWork = Json.flag(Json.part(in, "familyInfo"), "groups");
         s.probesAllowed = Json.flag(limits, "probes");
-        s.retryAfterHeard = Json.flag(limits, "retryAfter");
-        s.longestRetryAfter = Json.number(limits, "maxRetryAfterMs", 0) / 1000;
+        s.longestRetryAfter = Json.flag(limits, "retryAfter") ? Json.number(limits, "maxRetryAfterMs", 0) / 1000 : 0;
         s.mostSetups = (int) Json.number(limits, "mostSetups", s.mostSetups);
         s.askEvery = Json.number(rules, "askEveryMs", 1000 * s.askEvery) / 1000;
         s.coldFrom = Json.number(rules, "coldFrom", s.coldFrom);
--- a/src/main/java/asterpulley/net/Admit.java
+++ b/src/main/java/asterpulley/net/Admit.java
@@ -80,6 +80,6 @@
     }
 
     private double comeBack() {
-        return settings.retryAfterHeard ? settings.longestRetryAfter * (0.5 + 0.5 * random.nextDouble()) : 0;
+        return settings.longestRetryAfter * (0.5 + 0.5 * random.nextDouble());
     }
 }
--- a/src/test/java/asterpulley/Stage.java
+++ b/src/test/java/asterpulley/Stage.java
@@ -32,7 +32,6 @@
         set.mostSetups = 4;
         set.coldTime = 10;
         set.fallMultiple = 4;
-        set.retryAfterHeard = true;
         set.longestRetryAfter = 1;
     }
 
@@ -196,7 +195,7 @@
     @Override
     public void decline(Balance.Tunnel tun, double retryAfter) {
         result(tun, "decline");
-        check(!set.retryAfterHeard || retryAfter > 0, "no time to come back");
+        check(set.longestRetryAfter == 0 || retryAfter > 0, "no time to come back");
     }
 
     @Override
