A placement fades from the factor over the time in which reports come to know it

Ruled out: the window (3 to 9 of 8 to 64 out), connects (none failed), CPU, the clients' return. At fault: told(), which kept every placement whole for REPORT_LAG though the reports of that second knew most of them already.

--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -41,7 +41,7 @@
     private static final double SEEK_WAIT = 0.4;
     /** The most seeks a second that a relay can spare the time for. */
     private static final double MOST_SEEKS = 300;
-    /** Reports are refreshed and arrive late; a placement younger than this is not yet in them. */
+    /** Reports are refreshed and arrive late, by up to this: old placements are likelier in them. */
     private static final double REPORT_LAG = 1;
     /** A crossing's fee is lost all of a tunnel's life; this much more in the factor loses as much. */
     private static final double FEE_TO_FACTOR = 4;
@@ -92,9 +92,8 @@
     private int ownOpen, inFlight;
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
-    private double arrivals = 1, arrivalsAt, listBackOff = 0.5;
+    private double arrivals = 1, arrivalsAt, listBackOff = 0.5, window = WINDOW, windowCutAt, fullAt;
     private boolean declining, shared, heldTold;
-    private double window = WINDOW, windowCutAt, fullAt;
     private double moveCredit = 5;
 
     private record Placement(double at, double step) {
@@ -617,10 +616,9 @@
         int failing = 0;
         int seen = 0;
         for (int s = 0; s < n; s++) {
-            if (ready(s) && Math.max(failedAt[s], workedAt[s]) > since) {
-                seen++;
-                failing += failedAt[s] > workedAt[s] ? 1 : 0;
-            }
+            boolean tried = ready(s) && Math.max(failedAt[s], workedAt[s]) > since;
+            seen += tried ? 1 : 0;
+            failing += tried && failedAt[s] > workedAt[s] ? 1 : 0;
         }
         boolean was = shared;
         shared = failing >= 3 && failing >= 0.6 * seen;
@@ -727,10 +725,12 @@
         if (!Double.isNaN(seen)) {
             load[s] = seen;
             eased[s] = false;
-            while (!recent.get(s).isEmpty() && recent.get(s).peek().at < now - REPORT_LAG) {
-                Placement p = recent.get(s).poll();
-                extra[s] -= p.step;
-                placed[s] -= Math.max(0, p.step);
+            recent.get(s).removeIf(p -> p.at < now - REPORT_LAG);
+            extra[s] = placed[s] = 0;
+            for (Placement p : recent.get(s)) {
+                double unseen = 1 - (now - p.at) / REPORT_LAG;
+                extra[s] += unseen * p.step;
+                placed[s] += unseen * Math.max(0, p.step);
             }
             if (!cold(s, now) && running[s]) {
                 heldTold |= report.held >= 0;
