A silent server is sought again in 0.4 s, and at once where a client's line waits

At fault: told(), which left the next seek to the fee, and Relay, which waited 6 s for a line without a word to the module. Tests: two scenarios that fail with the module as it was (run so), lines_unanswered in ServeTest.

--- a/src/main/java/asterpulley/Balance.java
+++ b/src/main/java/asterpulley/Balance.java
@@ -172,6 +172,8 @@
         public void delay(double message) {
             if (on >= 0) {
                 restUntil[on] = Math.max(restUntil[on], front.now() + SLOW_REST);
+                // So long is no crowd any more: it may have fallen silent, and its tunnels wait.
+                seekAt[on] = message > REPORT_LAG ? Math.min(seekAt[on], front.now()) : seekAt[on];
             }
         }
 
@@ -705,9 +707,7 @@
         }
         if (outcome != Outcome.OK) {
             silent(s);
-            if (offline[s]) {
-                seekAt[s] = now + Math.min(SLOWEST_SEEK, seekEvery(s) * 2);
-            }
+            seekAt[s] = now + (offline[s] ? Math.min(SLOWEST_SEEK, seekEvery(s) * 2) : FASTEST_SEEK);
             return;
         }
         if (offline[s]) {
--- a/src/main/java/asterpulley/net/Passage.java
+++ b/src/main/java/asterpulley/net/Passage.java
@@ -33,6 +33,8 @@
     double heardAt;
     /** Since when a client's line has been without any line back; 0: it is not. */
     double unansweredSince;
+    /** How often the module was told of that. */
+    int toldSlow;
 
     Passage(Leg client, Words.Opening opening, double takenAt) {
         this.client = client;
--- a/src/main/java/asterpulley/net/Relay.java
+++ b/src/main/java/asterpulley/net/Relay.java
@@ -15,6 +15,8 @@
     private static final double HALF_CLOSED = 10;
     /** A client must not wait for ever for a silent backend: it is moved in time before the platform's bound. */
     private static final double SILENT = 6;
+    /** A sound backend brings a line back at once: from here on the module is told, as often as this. */
+    private static final double SLOW = 1.1;
     private static final double SWEEP = 0.25;
     /** A line that the backend does not finish can not be waited for any longer than it may be held back. */
     private static final double UNFINISHED = 0.8;
@@ -31,12 +33,17 @@
         this.send = send;
     }
 
-    /** Starts the watch over silent backends. */
+    /** Starts the watch over silent backends: what passes here tells of one sooner than its load reports do. */
     void start() {
         for (Passage passage : book.all()) {
-            if (passage.standing && passage.unansweredSince > 0 && loop.now() - passage.unansweredSince > SILENT) {
+            double waits = passage.unansweredSince > 0 ? loop.now() - passage.unansweredSince : 0;
+            if (passage.standing && waits > SILENT) {
                 book.count("moved_silent");
                 move(passage);
+            } else if (passage.standing && waits > (passage.toldSlow + 1) * SLOW) {
+                passage.toldSlow++;
+                book.count("lines_unanswered");
+                route.delay(passage, waits);
             }
         }
         loop.after(SWEEP, this::start);
@@ -77,6 +84,7 @@
     private void toBackend(Passage passage, Buffer bytes) {
         if (passage.unansweredSince == 0) {
             passage.unansweredSince = loop.now();
+            passage.toldSlow = 0;
         }
         book.add("bytes_to_backends", bytes.remaining());
         passage.heardAt = loop.now();
--- a/src/test/java/asterpulley/Stage.java
+++ b/src/test/java/asterpulley/Stage.java
@@ -18,6 +18,7 @@
     private final Map<Long, String> last = new HashMap<>();
     private final Map<Long, Integer> setups = new HashMap<>();
     private final Map<String, Integer> sentTo = new HashMap<>();
+    private final Map<String, Integer> sought = new HashMap<>();
     private final List<String> log = new ArrayList<>();
     private final PriorityQueue<Due> due = new PriorityQueue<>(
             (a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
@@ -113,7 +114,7 @@
                 last.remove(Long.parseLong(w[1]));
                 tunnels.get(Long.parseLong(w[1])).ended(0, Outcome.valueOf(w[2].toUpperCase()), 0.1, w.length > 3);
             }
-            case "slow" -> tunnels.get(Long.parseLong(w[1])).delay(0.4);
+            case "slow" -> tunnels.get(Long.parseLong(w[1])).delay(w.length > 2 ? Double.parseDouble(w[2]) : 0.4);
             case "withdrawn" -> tunnels.get(Long.parseLong(w[1])).withdrawn();
             default -> throw new AssertionError("unknown event " + w[0]);
         }
@@ -123,8 +124,8 @@
         switch (w[1]) {
             case "log" -> check(log.stream().anyMatch(l -> l.contains(w[2])), log.toString());
             case "watches" -> check(watches >= Integer.parseInt(w[2]), watches + " watches");
-            case "sent" -> {
-                int sent = sentTo.getOrDefault(w[2], 0);
+            case "sent", "sought" -> {
+                int sent = (w[1].equals("sent") ? sentTo : sought).getOrDefault(w[2], 0);
                 int limit = Integer.parseInt(w[4]);
                 check(w[3].equals("most") ? sent <= limit : sent >= limit, "sent " + sentTo);
             }
@@ -212,6 +213,7 @@
     @Override
     public void probe(String ep) {
         Map<String, String> s = servers.get(ep);
+        sought.merge(ep, 1, Integer::sum);
         boolean silent = s.get("load").equals("silent");
         later(silent ? 0.3 : 0.01, () -> {
             Report report = new Report();
--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -679,6 +679,7 @@
         assertNull(silent.line());
         assertEquals(1, counted("ended_move"));
         assertEquals(1, counted("moved_silent"));
+        assertEquals(5, counted("lines_unanswered"), "the module heard of it from 1.1 s on");
     }
 
     @Test
