A tunnel whose line brings nothing back is moved after 3.5 s, not 6 s

Ruled out: moves that were put off (none was in the middle of a line), late reads, the selector thread. At fault: Relay.SILENT, which took the platform's 7 s to count from the line; they count from where the stream stopped, up to 2 s before.

--- a/src/main/java/asterpulley/net/Relay.java
+++ b/src/main/java/asterpulley/net/Relay.java
@@ -13,8 +13,11 @@
 final class Relay extends BaseFilter {
     /** One side has ended and the other says nothing this long: it holds sockets for nobody. */
     private static final double HALF_CLOSED = 10;
-    /** A client must not wait for ever for a silent backend: it is moved in time before the platform's bound. */
-    private static final double SILENT = 6;
+    /**
+     * A client must not wait for ever on what fell silent. The platform bounds that at 7 s from where it stopped, which
+     * may be 2 s, the time between two lines of a client, before the first line that nothing answers.
+     */
+    private static final double SILENT = 3.5;
     /** A sound backend brings a line back at once: from here on the module is told, as often as this. */
     private static final double SLOW = 1.1;
     private static final double SWEEP = 0.25;
--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/src/test/java/asterpulley/net/ServeTest.java
@@ -669,6 +669,7 @@
         End draining = b.opens();
         sentAway.line();
         waiting.say("anyone?\r\n");
+        long since = System.nanoTime();
         draining.say("MOVE\r\n");
         draining.close();
         assertEquals("MOVE", sentAway.line());
@@ -679,7 +680,8 @@
         assertNull(silent.line());
         assertEquals(1, counted("ended_move"));
         assertEquals(1, counted("moved_silent"));
-        assertEquals(5, counted("lines_unanswered"), "the module heard of it from 1.1 s on");
+        assertTrue(System.nanoTime() - since < 4.9e9, "the silence may be 2 s older than the line");
+        assertEquals(3, counted("lines_unanswered"), "the module heard of it from 1.1 s on");
     }
 
     @Test
