--- a/src/main/java/asterpulley/cli/Main.java
+++ b/drill/src/main/java/asterpulley/drill/Main.java
@@ -1,15 +1,12 @@
-package asterpulley.cli;
+package asterpulley.drill;
 
-import asterpulley.drill.Drill;
-import asterpulley.net.Serve;
 import java.io.IOException;
 
-/** The command line. */
+/** The command line of the adapter: nothing but {@code drill}. */
 public final class Main {
     private static final String USAGE = """
-            usage: asterpulley serve     relay tunnels on sockets; LB_CONFIG names the file of what the relay is told
-                   asterpulley drill     decide on a simulator's wire: batches on standard input, replies on standard output
-                   asterpulley --help    print this
+            usage: drill     decide on a simulator's wire: batches on standard input, replies on standard output
+                   --help    print this
             """;
 
     private Main() {
@@ -20,8 +17,6 @@
             System.out.print(USAGE);
         } else if (args.length == 1 && args[0].equals("drill")) {
             System.exit(Drill.run(System.in, System.out, System.err));
-        } else if (args.length == 1 && args[0].equals("serve")) {
-            System.exit(Serve.run(System.err));
         } else {
             System.err.print(USAGE);
             System.exit(2);
--- a/src/test/java/asterpulley/DrillTest.java
+++ b/drill/src/test/java/asterpulley/drill/DrillTest.java
@@ -1,9 +1,8 @@
-package asterpulley;
+package asterpulley.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import asterpulley.drill.Drill;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/main/java/asterpulley/net/Gather.java
+++ b/relay/src/main/java/asterpulley/line/Gather.java
@@ -1,19 +1,28 @@
-package asterpulley.net;
+package asterpulley.line;
 
 import java.util.Arrays;
+import asterpulley.net.Leg;
 import org.glassfish.grizzly.Buffer;
 
 /**
  * Owns a line that has come only in part. Bytes go in as they were read, whole lines come out, however they were
  * split or joined on their way. It must never keep more than the longest line, and never lose a byte behind one.
  */
-final class Gather {
+public final class Gather {
     private byte[] bytes = new byte[128];
     private int size;
     private boolean tooLong, bare;
 
+    /** What has come in part on this connection. */
+    public static Gather of(Leg leg) {
+        if (leg.partly == null) {
+            leg.partly = new Gather();
+        }
+        return (Gather) leg.partly;
+    }
+
     /** The next whole line, without its end; null when it is still to come. What follows it stays in the buffer. */
-    String next(Buffer in) {
+    public String next(Buffer in) {
         while (in.hasRemaining()) {
             byte b = in.get();
             if (b == '\n') {
@@ -36,17 +45,17 @@
     }
 
     /** True once a line came that is longer than any may be. */
-    boolean tooLong() {
+    public boolean tooLong() {
         return tooLong;
     }
 
     /** True when the last line ended without its carriage return. */
-    boolean bare() {
+    public boolean bare() {
         return bare;
     }
 
     /** True between two lines. */
-    boolean between() {
+    public boolean between() {
         return size == 0;
     }
 }
--- a/src/main/java/asterpulley/net/Probes.java
+++ b/relay/src/main/java/asterpulley/line/Probes.java
@@ -1,7 +1,13 @@
-package asterpulley.net;
+package asterpulley.line;
 
 import asterpulley.Report;
 import asterpulley.Settings;
+import asterpulley.net.Book;
+import asterpulley.net.Dialer;
+import asterpulley.net.Failure;
+import asterpulley.net.Leg;
+import asterpulley.net.Loop;
+import asterpulley.net.Route;
 import java.util.HashMap;
 import java.util.Map;
 import org.glassfish.grizzly.Buffer;
@@ -14,7 +20,7 @@
  * Owns the connections on which backends are asked for their load: one a backend, kept between questions because a
  * new one costs the backend work and room. It must answer every question exactly once, and never judge by itself.
  */
-final class Probes extends BaseFilter {
+public final class Probes extends BaseFilter {
     /** A connection unused this long is of a backend that nobody asks any more, or of a machine that fell silent. */
     private static final double UNUSED = 60;
 
@@ -42,7 +48,7 @@
     private final Map<Leg, Line> byLeg = new HashMap<>();
     private FilterChain chain;
 
-    Probes(Settings settings, Loop loop, Book book, Dialer dialer, Route route) {
+    public Probes(Settings settings, Loop loop, Book book, Dialer dialer, Route route) {
         this.loop = loop;
         this.book = book;
         this.dialer = dialer;
@@ -51,12 +57,12 @@
         this.patience = settings.profiles.stream().mapToDouble(p -> p.setupGoal).min().orElse(0.5);
     }
 
-    void through(FilterChain probes) {
+    public void through(FilterChain probes) {
         chain = probes;
     }
 
     /** Starts the watch over unused connections. */
-    void start() {
+    public void start() {
         lines.values().removeIf(line -> {
             boolean unused = !line.asked && loop.now() - line.askedAt > UNUSED;
             if (unused && line.leg != null) {
@@ -67,7 +73,7 @@
         loop.after(UNUSED / 4, this::start);
     }
 
-    void ask(String host) {
+    public void ask(String host) {
         Line line = lines.computeIfAbsent(host, Line::new);
         if (line.asked) {
             return;
@@ -104,7 +110,7 @@
 
     private void say(Line line) {
         line.reach = Failure.Reach.SENT;
-        line.leg.line(Words.STATS);
+        line.leg.say(Words.line(Words.STATS));
     }
 
     @Override
@@ -115,7 +121,7 @@
             broken(leg, line);
             return ctx.getStopAction();
         }
-        for (String answer = leg.gather.next(in); answer != null; answer = leg.gather.next(in)) {
+        for (String answer = Gather.of(leg).next(in); answer != null; answer = Gather.of(leg).next(in)) {
             if (line.asked) {
                 settle(line);
                 book.count("probes_answered");
--- a/src/main/java/asterpulley/net/Relay.java
+++ b/relay/src/main/java/asterpulley/line/Relay.java
@@ -1,5 +1,12 @@
-package asterpulley.net;
-
+package asterpulley.line;
+
+import asterpulley.net.Book;
+import asterpulley.net.Failure;
+import asterpulley.net.Leg;
+import asterpulley.net.Loop;
+import asterpulley.net.Passage;
+import asterpulley.net.Route;
+import asterpulley.net.SocketFilter;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -10,7 +17,7 @@
  * along for what the backend tells of the tunnel, ends each side as the other ended, and moves clients away. It
  * must never change a byte, never speak to a client in the middle of a line, and never hold a line back.
  */
-final class Relay extends BaseFilter {
+public final class Relay extends BaseFilter {
     /** One side has ended and the other says nothing this long: it holds sockets for nobody. */
     private static final double HALF_CLOSED = 10;
     /**
@@ -29,7 +36,7 @@
     private final Route route;
     private final Send send;
 
-    Relay(Loop loop, Book book, Route route, Send send) {
+    public Relay(Loop loop, Book book, Route route, Send send) {
         this.loop = loop;
         this.book = book;
         this.route = route;
@@ -37,7 +44,7 @@
     }
 
     /** Starts the watch over silent backends: what passes here tells of one sooner than its load reports do. */
-    void start() {
+    public void start() {
         for (Passage passage : book.all()) {
             double waits = passage.unansweredSince > 0 ? loop.now() - passage.unansweredSince : 0;
             if (passage.standing && waits > SILENT) {
@@ -96,7 +103,7 @@
 
     private void toClient(Passage passage, Buffer bytes) {
         int from = bytes.position();
-        Gather gather = passage.backend.gather;
+        Gather gather = Gather.of(passage.backend);
         for (String line = gather.next(bytes); line != null; line = gather.next(bytes)) {
             heed(passage, line);
         }
@@ -211,12 +218,12 @@
     }
 
     /** Sends the client elsewhere, as soon as no line is under way to it. */
-    void move(Passage passage) {
+    public void move(Passage passage) {
         if (!passage.standing || passage.over || passage.moving) {
             return;
         }
         passage.moving = true;
-        if (passage.backend.gather.between()) {
+        if (Gather.of(passage.backend).between()) {
             moveNow(passage);
         } else {
             loop.after(UNFINISHED, () -> {
@@ -235,7 +242,7 @@
             return;
         }
         book.count("moved");
-        passage.client.line(Words.MOVE);
+        passage.client.say(Words.line(Words.MOVE));
         finish(passage, Failure.Cause.CLIENT_LEFT);
         passage.backend.close();
         passage.client.linger();
--- a/src/main/java/asterpulley/net/Send.java
+++ b/relay/src/main/java/asterpulley/line/Send.java
@@ -1,5 +1,12 @@
-package asterpulley.net;
+package asterpulley.line;
 
+import asterpulley.net.Book;
+import asterpulley.net.Dialer;
+import asterpulley.net.Failure;
+import asterpulley.net.Leg;
+import asterpulley.net.Loop;
+import asterpulley.net.Passage;
+import asterpulley.net.Route;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -11,7 +18,7 @@
  * far the setup has come, so that its end tells truly whether it may have run. It must never have two setups of a
  * tunnel out, and never send one again by itself.
  */
-final class Send extends BaseFilter {
+public final class Send extends BaseFilter {
     /** Tunnels that stood before the relay started are tried for as long as the platform waits for them. */
     private static final double REOPEN_FOR = 35;
     private static final double REOPEN_EVERY = 0.5;
@@ -23,7 +30,7 @@
     private final Route route;
     private FilterChain chain;
 
-    Send(Loop loop, Book book, Dialer dialer, Route route) {
+    public Send(Loop loop, Book book, Dialer dialer, Route route) {
         this.loop = loop;
         this.book = book;
         this.dialer = dialer;
@@ -31,11 +38,11 @@
     }
 
     /** The chain that backends' connections pass; this stage is in it. */
-    void through(FilterChain backends) {
+    public void through(FilterChain backends) {
         chain = backends;
     }
 
-    void setup(Passage passage, String host, double timeout) {
+    public void setup(Passage passage, String host, double timeout) {
         int n = ++passage.setups;
         passage.host = host;
         passage.out = true;
@@ -48,7 +55,7 @@
     }
 
     /** A tunnel that stood at this backend before the relay started: it goes there and nowhere else. */
-    void reopen(Passage passage) {
+    public void reopen(Passage passage) {
         if (passage.over) {
             return;
         }
@@ -57,7 +64,7 @@
             return;
         }
         book.count("reopenings");
-        setup(passage, passage.opening.at(), REOPEN_PATIENCE);
+        setup(passage, passage.asked.at(), REOPEN_PATIENCE);
     }
 
     private void connected(Passage passage, int n, Leg leg, double timeout) {
@@ -68,7 +75,7 @@
         passage.backend = leg;
         leg.passage = passage;
         passage.reach = Failure.Reach.PARTLY_WRITTEN;
-        leg.line(passage.opening.line(passage.sentAt + timeout - loop.now()), () -> {
+        leg.say(passage.asked.opening(passage.sentAt + timeout - loop.now()), () -> {
             if (passage.setups == n && passage.reach == Failure.Reach.PARTLY_WRITTEN) {
                 passage.reach = Failure.Reach.SENT;
             }
@@ -90,13 +97,13 @@
             failed(passage, passage.setups, Failure.Cause.BROKEN);
             return ctx.getStopAction();
         }
-        String line = leg.gather.next(in);
+        String line = Gather.of(leg).next(in);
         while (line != null && !Double.isNaN(Words.load(line))) {
-            line = leg.gather.next(in);
+            line = Gather.of(leg).next(in);
         }
         if (line == null) {
             in.tryDispose();
-            if (leg.gather.tooLong()) {
+            if (Gather.of(leg).tooLong()) {
                 failed(passage, passage.setups, Failure.Cause.ERR);
             }
             return ctx.getStopAction();
@@ -113,7 +120,7 @@
         passage.standing = true;
         passage.answered = true;
         book.count("opened");
-        passage.client.line(line);
+        passage.client.say(Words.line(line));
         if (passage.clientEnded) {
             // It ended its sending behind its line, and only that: the backend is told so, and it gets its answer.
             leg.endSending();
@@ -138,7 +145,7 @@
     }
 
     /** The client left while the setup was out. */
-    void abandon(Passage passage) {
+    public void abandon(Passage passage) {
         if (passage.out) {
             failed(passage, passage.setups, Failure.Cause.CLIENT_LEFT);
         }
@@ -155,7 +162,7 @@
         }
         Failure failure = passage.failure(cause);
         book.count("setup_" + failure.outcome().name().toLowerCase());
-        if (passage.opening.at() != null) {
+        if (passage.asked.at() != null) {
             loop.after(REOPEN_EVERY, () -> reopen(passage));
         } else {
             route.ended(passage, failure);
--- a/src/main/java/asterpulley/net/TakeIn.java
+++ b/relay/src/main/java/asterpulley/line/TakeIn.java
@@ -1,5 +1,11 @@
-package asterpulley.net;
+package asterpulley.line;
 
+import asterpulley.net.Book;
+import asterpulley.net.Leg;
+import asterpulley.net.Lobby;
+import asterpulley.net.Loop;
+import asterpulley.net.Passage;
+import asterpulley.net.Talk;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -10,15 +16,17 @@
  * checks, turns an opening into a tunnel and hands that on; whatever else comes is answered and ended at once. It
  * must never pass on what is not an opening to the letter, and never wait for a client that does not speak.
  */
-final class TakeIn extends BaseFilter {
+public final class TakeIn extends BaseFilter {
     private final Loop loop;
     private final Words words;
+    private final Talk talk;
     private final Book book;
     private final Lobby lobby;
 
-    TakeIn(Loop loop, Words words, Book book, Lobby lobby) {
+    public TakeIn(Loop loop, Words words, Talk talk, Book book, Lobby lobby) {
         this.loop = loop;
         this.words = words;
+        this.talk = talk;
         this.book = book;
         this.lobby = lobby;
     }
@@ -41,9 +49,9 @@
             leg.close();
             return ctx.getStopAction();
         }
-        String line = leg.gather.next(in);
+        String line = Gather.of(leg).next(in);
         // A client waits for the answer to its line: what has more behind it is none, and nothing of it is heeded.
-        boolean wrong = leg.gather.tooLong() || line != null && (leg.gather.bare() || in.hasRemaining());
+        boolean wrong = Gather.of(leg).tooLong() || line != null && (Gather.of(leg).bare() || in.hasRemaining());
         in.tryDispose();
         if (line == null && !wrong) {
             return ctx.getStopAction();
@@ -51,18 +59,18 @@
         if (!wrong && line.equals(Words.PING)) {
             book.count("pings");
             leg.spokeAt = loop.now();
-            leg.line(Words.PONG);
+            leg.say(Words.line(Words.PONG));
             return ctx.getStopAction();
         }
         Words.Opening opening = wrong ? null : words.opening(line);
         if (opening == null || !book.firstSeen(opening.id())) {
             book.count(opening == null ? "malformed" : "repeated_ids");
-            leg.line(Words.ERR);
+            leg.say(Words.line(Words.ERR));
             leg.linger();
             return ctx.getStopAction();
         }
         book.count("taken");
-        ctx.setMessage(new Passage(leg, opening, loop.now()));
+        ctx.setMessage(new Passage(leg, opening, talk, loop.now()));
         return ctx.getInvokeAction();
     }
 }
--- a/src/main/java/asterpulley/net/Words.java
+++ b/relay/src/main/java/asterpulley/line/Words.java
@@ -1,33 +1,32 @@
-package asterpulley.net;
+package asterpulley.line;
 
-import asterpulley.Listed;
 import asterpulley.Outcome;
 import asterpulley.Report;
-import asterpulley.decode.Json;
 import asterpulley.decode.SettingsDecoder;
+import asterpulley.net.Asked;
+import asterpulley.net.Failure;
 import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
 /**
- * Owns the words of the platform's line protocol and of its discovery: lines and entries are read into the relay's
- * terms here and written here, and nowhere else. It must never decide anything, nor touch a socket.
+ * Owns the words of the platform's line protocol: lines are read into the relay's terms here and written here, and
+ * nowhere else. It must never decide anything, nor touch a socket.
  */
-final class Words {
+public final class Words {
     /** The longest line that is taken. */
-    static final int LONGEST = 4096;
+    public static final int LONGEST = 4096;
     /** Lines go on byte for byte, whatever a client wrote in them. */
-    static final Charset BYTES = StandardCharsets.ISO_8859_1;
-    static final String PONG = "PONG";
-    static final String MOVE = "MOVE";
-    static final String ERR = "ERR";
-    static final String PING = "PING";
-    static final String STATS = "STATS";
-    static final String NO = "NO";
+    public static final Charset BYTES = StandardCharsets.ISO_8859_1;
+    public static final String PONG = "PONG";
+    public static final String MOVE = "MOVE";
+    public static final String ERR = "ERR";
+    public static final String PING = "PING";
+    public static final String STATS = "STATS";
+    public static final String NO = "NO";
 
     private static final Pattern MARK = Pattern.compile("[0-9a-fA-F]{1,32}");
     /** No blank, no control character. */
@@ -35,26 +34,28 @@
     private static final Pattern MILLISECONDS = Pattern.compile("[1-9][0-9]{0,9}");
 
     /** A client's first line; {@code patience} is NaN where it names none, as only a standing tunnel's may. */
-    record Opening(String id, String key, int profile, int customer, String group, double patience, String at,
-            String beforePatience, String afterPatience) {
+    public record Opening(String id, String key, int profile, int customer, String group, double patience, String at,
+            String beforePatience, String afterPatience) implements Asked {
         /** The line for a backend: unchanged but for how long this relay will wait. */
-        String line(double wait) {
-            return afterPatience == null ? beforePatience
-                    : beforePatience + Math.max(1, Math.round(wait * 1000)) + afterPatience;
+        @Override
+        public byte[] opening(double wait) {
+            return line(afterPatience == null ? beforePatience
+                    : beforePatience + Math.max(1, Math.round(wait * 1000)) + afterPatience);
         }
     }
 
+    /** A line as it goes out. */
+    public static byte[] line(String text) {
+        return (text + "\r\n").getBytes(BYTES);
+    }
+
     private final Map<String, Integer> profiles;
     private final Map<String, Integer> customers;
-    private final Map<String, Integer> zones;
-    private final Map<String, Integer> models;
 
-    /** The names that lines and entries may use, by their place in the settings. */
-    Words(Map<String, Object> settings) {
+    /** The names that lines may use, by their place in the settings. */
+    public Words(Map<String, Object> settings) {
         profiles = places(settings, "profiles");
         customers = places(settings, "tenants");
-        zones = places(settings, "zones");
-        models = places(settings, "models");
     }
 
     private static Map<String, Integer> places(Map<String, Object> settings, String list) {
@@ -72,7 +73,7 @@
      * Null where the line is not an opening to the letter: backends close on what they cannot read, and what one
      * client sent must never cost another its tunnel.
      */
-    Opening opening(String line) {
+    public Opening opening(String line) {
         String[] w = line.split(" ", -1);
         if (w.length != 4 || !w[0].equals("OPEN") || !MARK.matcher(w[1]).matches() || !MARK.matcher(w[2]).matches()
                 || !PLAIN.matcher(w[3]).matches()) {
@@ -104,16 +105,16 @@
                 patience == null ? Double.NaN : Long.parseLong(patience) / 1000.0, at, before, after);
     }
 
-    static String busy(double retryAfter) {
+    public static String busy(double retryAfter) {
         return retryAfter > 0 ? "BUSY " + Math.round(retryAfter * 1000) : "BUSY";
     }
 
-    static boolean isOpened(String line) {
+    public static boolean isOpened(String line) {
         return line.startsWith("UP ");
     }
 
     /** What a backend's line says of the tunnel's end; null where it says nothing of that. */
-    static Failure.Cause cause(String line) {
+    public static Failure.Cause cause(String line) {
         int space = line.indexOf(' ');
         return switch (space < 0 ? line : line.substring(0, space)) {
             case "BYE" -> Failure.Cause.BYE;
@@ -125,7 +126,7 @@
     }
 
     /** A tunnel's load in cores, where this line tells it; else NaN. */
-    static double load(String line) {
+    public static double load(String line) {
         if (!line.startsWith("LOAD ")) {
             return Double.NaN;
         }
@@ -136,13 +137,13 @@
         }
     }
 
-    static Outcome probed(String line) {
+    public static Outcome probed(String line) {
         return line.startsWith(PONG) ? Outcome.OK
                 : Failure.Cause.BUSY == cause(line) ? Outcome.FULL : Outcome.FAILED;
     }
 
     /** The load report behind an answer's first word, where there is one. */
-    static Report report(String line) {
+    public static Report report(String line) {
         Map<String, Object> figures = new HashMap<>();
         int space = line.indexOf(' ');
         for (String pair : space < 0 ? new String[0] : line.substring(space + 1).trim().split(",")) {
@@ -166,33 +167,4 @@
             default -> figure;
         };
     }
-
-    /** A list of backends as discovery writes it, with where this relay reaches each. */
-    record Fleet(long version, boolean whole, List<Listed> servers, Map<String, String> dials) {
-    }
-
-    Fleet fleet(Map<String, Object> in) {
-        List<Listed> servers = new ArrayList<>();
-        Map<String, String> dials = new HashMap<>();
-        for (Object o : Json.list(in, "hosts")) {
-            Map<String, Object> e = Json.object(o, "an entry of hosts");
-            String host = Json.text(e, "host");
-            Listed.State state = switch (Json.text(e, "health")) {
-                case "up" -> Listed.State.RUNNING;
-                case "removed" -> Listed.State.GONE;
-                default -> Listed.State.DRAINING;
-            };
-            if (Json.textOrNull(e, "dial") != null) {
-                dials.put(host, Json.text(e, "dial"));
-            }
-            double born = Json.seconds(e, "born_ms");
-            servers.add(new Listed(host, place(zones, e.get("site")), place(models, e.get("class")),
-                    place(Map.of(), e.get("block")), state, born > 0 ? born : Double.NEGATIVE_INFINITY));
-        }
-        return new Fleet(Json.whole(in, "seq"), Json.flag(in, "whole"), servers, dials);
-    }
-
-    private static int place(Map<String, Integer> places, Object named) {
-        return named instanceof Number n ? n.intValue() : places.getOrDefault(String.valueOf(named), 0);
-    }
 }
--- a/src/main/java/asterpulley/net/Discovery.java
+++ b/relay/src/main/java/asterpulley/list/Discovery.java
@@ -1,7 +1,10 @@
-package asterpulley.net;
+package asterpulley.list;
 
 import asterpulley.Listed;
 import asterpulley.decode.Json;
+import asterpulley.net.Book;
+import asterpulley.net.Loop;
+import asterpulley.net.Route;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import java.io.IOException;
@@ -28,7 +31,7 @@
  * told is over, never forget one because discovery fails or moves, and never ask again after a failure before the
  * module says so.
  */
-final class Discovery extends BaseFilter {
+public final class Discovery extends BaseFilter {
     private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
     private static final String PATH = "/registry/instances";
     /** How long a call may wait for news. Shorter costs discovery calls; longer leaves a dead call unnoticed. */
@@ -39,7 +42,7 @@
     /** The version of no list: the whole one is asked for. */
     private static final long NONE = -1;
 
-    private final Words words;
+    private final Fleet.Names names;
     private final Loop loop;
     private final Book book;
     private final Route route;
@@ -52,28 +55,30 @@
     private boolean watching, waiting, down;
     private int call;
 
-    Discovery(Config config, Loop loop, Book book, Route route, TCPNIOTransport transport) {
-        this.words = config.words;
-        this.address = config.discovery;
+    /** {@code address}: null where there is no discovery and the list only comes from the configuration. */
+    public Discovery(InetSocketAddress address, Fleet.Names names, Fleet known, Loop loop, Book book, Route route,
+            TCPNIOTransport transport) {
+        this.names = names;
+        this.address = address;
         this.loop = loop;
         this.book = book;
         this.route = route;
         this.transport = transport;
-        version = config.known.version();
-        dials.putAll(config.known.dials());
+        version = known.version();
+        dials.putAll(known.dials());
     }
 
-    void through(FilterChain http) {
+    public void through(FilterChain http) {
         chain = http;
     }
 
     /** Where this relay reaches a backend; null when it was never told. */
-    String dial(String host) {
+    public String dial(String host) {
         return dials.get(host);
     }
 
-    void watch() {
-        if (!watching) {
+    public void watch() {
+        if (!watching && address != null) {
             watching = true;
             call();
         }
@@ -83,8 +88,8 @@
      * Moves the watch to another address, at once: news of the old one counts as told soon, heard or not. Versions
      * there may be others', so the whole list is asked for; until it comes, the fleet stays as it was last told.
      */
-    void moveTo(InetSocketAddress to) {
-        if (to.equals(address)) {
+    public void moveTo(InetSocketAddress to) {
+        if (to == null || to.equals(address)) {
             return;
         }
         address = to;
@@ -160,28 +165,38 @@
     }
 
     private void answered(String body) {
-        Words.Fleet fleet;
+        Fleet fleet;
         try (JsonParser parser = new JsonFactory().createParser(body)) {
             parser.nextToken();
-            fleet = words.fleet(Json.object(Json.value(parser), "the list"));
+            fleet = Fleet.read(Json.object(Json.value(parser), "the list"), names);
         } catch (IOException | Json.Malformed e) {
             failed(call, "malformed: " + e.getMessage());
             return;
         }
         waiting = false;
         version = fleet.version();
+        note(fleet);
+        if (down) {
+            down = false;
+            LOG.info("discovery back, list " + version + ", backends " + dials.size());
+        }
+        call();
+        route.listed(fleet.servers(), fleet.whole());
+    }
+
+    /** A list that the configuration brings, where there is no discovery. */
+    public void tell(Fleet fleet) {
+        note(fleet);
+        route.listed(fleet.servers(), fleet.whole());
+    }
+
+    private void note(Fleet fleet) {
         dials.putAll(fleet.dials());
         for (Listed listed : fleet.servers()) {
             if (listed.state() == Listed.State.GONE) {
                 dials.remove(listed.ep());
             }
         }
-        if (down) {
-            down = false;
-            LOG.info("discovery back, list " + version + ", backends " + dials.size());
-        }
-        call();
-        route.listed(fleet);
     }
 
     @Override
--- /dev/null
+++ b/relay/src/main/java/asterpulley/list/Fleet.java
@@ -0,0 +1,61 @@
+package asterpulley.list;
+
+import asterpulley.Listed;
+import asterpulley.decode.Json;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A list of backends as discovery writes it, whole or its changes since a version, with where this relay reaches each.
+ * It owns the words of discovery's entries, and must never judge what they say.
+ */
+public record Fleet(long version, boolean whole, List<Listed> servers, Map<String, String> dials) {
+    /** The names that entries may use, by their place in the settings. */
+    public static final class Names {
+        private final Map<String, Integer> zones;
+        private final Map<String, Integer> models;
+
+        public Names(Map<String, Object> settings) {
+            zones = places(settings, "zones");
+            models = places(settings, "models");
+        }
+
+        private static Map<String, Integer> places(Map<String, Object> settings, String list) {
+            Map<String, Integer> places = new HashMap<>();
+            if (settings.get(list) instanceof List<?> names) {
+                for (Object o : names) {
+                    Object name = o instanceof Map<?, ?> named ? named.get("name") : o;
+                    places.put(String.valueOf(name), places.size());
+                }
+            }
+            return places;
+        }
+    }
+
+    public static Fleet read(Map<String, Object> in, Names names) {
+        List<Listed> servers = new ArrayList<>();
+        Map<String, String> dials = new HashMap<>();
+        for (Object o : Json.list(in, "hosts")) {
+            Map<String, Object> e = Json.object(o, "an entry of hosts");
+            String host = Json.text(e, "host");
+            Listed.State state = switch (Json.text(e, "health")) {
+                case "up" -> Listed.State.RUNNING;
+                case "removed" -> Listed.State.GONE;
+                default -> Listed.State.DRAINING;
+            };
+            if (Json.textOrNull(e, "dial") != null) {
+                dials.put(host, Json.text(e, "dial"));
+            }
+            double born = Json.seconds(e, "born_ms");
+            servers.add(new Listed(host, place(names.zones, e.get("site")), place(names.models, e.get("class")),
+                    place(Map.of(), e.get("block")), state, born > 0 ? born : Double.NEGATIVE_INFINITY));
+        }
+        return new Fleet(Json.whole(in, "seq"), Json.flag(in, "whole"), servers, dials);
+    }
+
+    private static int place(Map<String, Integer> places, Object named) {
+        return named instanceof Number n ? n.intValue() : places.getOrDefault(String.valueOf(named), 0);
+    }
+}
--- a/src/main/java/asterpulley/net/Admit.java
+++ b/relay/src/main/java/asterpulley/net/Admit.java
@@ -11,8 +11,9 @@
  * reserve so that newcomers can always be accepted and told to come back. It must never judge backends: that is
  * the module's.
  */
-final class Admit extends BaseFilter {
+public final class Admit extends BaseFilter {
     private final Settings settings;
+    private final Talk talk;
     private final Book book;
     private final Lobby lobby;
     private final Random random;
@@ -20,8 +21,9 @@
     private int reserve;
     private boolean crowded;
 
-    Admit(Settings settings, Book book, Lobby lobby, Random random) {
+    public Admit(Settings settings, Talk talk, Book book, Lobby lobby, Random random) {
         this.settings = settings;
+        this.talk = talk;
         this.book = book;
         this.lobby = lobby;
         this.random = random;
@@ -31,7 +33,7 @@
      * The sockets that tunnels, probes and newcomers may take together. The bound may change while tunnels stand:
      * what is above a lower one leaves by itself, and nothing new comes meanwhile.
      */
-    void room(int sockets) {
+    public void room(int sockets) {
         room = sockets;
         reserve = Math.max(8, room / 16);
     }
@@ -45,7 +47,7 @@
         if (!fits(room - reserve / 2)) {
             Leg leg = Leg.of(ctx.getConnection());
             book.count("declined_no_sockets");
-            leg.line(Words.busy(comeBack()));
+            talk.decline(leg, comeBack());
             leg.closeInOrder();
             return ctx.getStopAction();
         }
--- a/src/main/java/asterpulley/net/Book.java
+++ b/relay/src/main/java/asterpulley/net/Book.java
@@ -14,7 +14,7 @@
  * stages take in, send and answer is counted here, and a tunnel is let go here, once. It must never change what
  * happens to a tunnel.
  */
-final class Book {
+public final class Book {
     private static final Logger LOG = Logger.getLogger(Book.class.getName());
 
     /** Ids of ended tunnels that are remembered: some seconds' worth, in under a megabyte. */
@@ -30,23 +30,23 @@
         }
     };
     private long lastId;
-    double lastAcceptedAt;
+    public double lastAcceptedAt;
     /** Connections that are open, and those of them that only wait for a peer to read the last word. */
-    int sockets, lingering;
+    public int sockets, lingering;
     /** Buffers that wait for slow readers, on all connections together. */
-    int waiting;
+    public int waiting;
     /** So many of them, and every sender is held back at once: slow readers must not fill the memory. */
-    int mostWaiting = Integer.MAX_VALUE;
+    public int mostWaiting = Integer.MAX_VALUE;
 
-    void count(String what) {
+    public void count(String what) {
         counters.merge(what, 1L, Long::sum);
     }
 
-    void add(String what, long amount) {
+    public void add(String what, long amount) {
         counters.merge(what, amount, Long::sum);
     }
 
-    long counted(String what) {
+    public long counted(String what) {
         return counters.getOrDefault(what, 0L);
     }
 
@@ -54,61 +54,70 @@
      * Remembers a client's id; false where it was seen before. Guards against clients that bring another's: ids are
      * new with every connection, and two tunnels under one id would be one to the backends.
      */
-    boolean firstSeen(String id) {
+    public boolean firstSeen(String id) {
         return !endedIds.containsKey(id) && openIds.add(id);
     }
 
     /** Opens the record of a tunnel; its number is this relay's own, never a client's. */
-    long enter(Passage passage) {
+    public long enter(Passage passage) {
         passages.put(++lastId, passage);
         return lastId;
     }
 
-    Passage find(long id) {
+    public Passage find(long id) {
         return passages.get(id);
     }
 
-    List<Passage> all() {
+    public List<Passage> all() {
         return List.copyOf(passages.values());
     }
 
-    int held() {
+    public int held() {
         return passages.size();
     }
 
-    void leave(Passage passage) {
+    public void leave(Passage passage) {
         passages.remove(passage.id);
-        openIds.remove(passage.opening.id());
-        endedIds.put(passage.opening.id(), true);
+        openIds.remove(passage.asked.id());
+        endedIds.put(passage.asked.id(), true);
         if (passage.overdue != null) {
             passage.overdue.cancel();
         }
     }
 
     /** Final answer: declined, come back after so many seconds (0: no advice). */
-    void decline(Passage passage, double retryAfter) {
-        answer(passage, "declined", Words.busy(retryAfter));
+    public void decline(Passage passage, double retryAfter) {
+        if (answers(passage, "declined")) {
+            passage.talk.decline(passage.client, retryAfter);
+            answered(passage);
+        }
     }
 
     /** Final answer: closed with error. */
-    void closeWithError(Passage passage) {
-        answer(passage, "closed_with_error", Words.ERR);
+    public void closeWithError(Passage passage) {
+        if (answers(passage, "closed_with_error")) {
+            passage.talk.closeWithError(passage.client);
+            answered(passage);
+        }
     }
 
     /** There is one final answer, so a second is dropped, and so is one to a tunnel that is gone. */
-    private void answer(Passage passage, String counter, String line) {
+    private boolean answers(Passage passage, String counter) {
         if (passage == null || passage.answered) {
-            return;
+            return false;
         }
         count(counter);
         passage.answered = true;
         passage.over = true;
-        passage.client.line(line);
+        return true;
+    }
+
+    private void answered(Passage passage) {
         passage.client.linger();
         leave(passage);
     }
 
-    void log(String line) {
+    public void log(String line) {
         LOG.info(line);
     }
 
--- a/src/main/java/asterpulley/net/Dialer.java
+++ b/relay/src/main/java/asterpulley/net/Dialer.java
@@ -1,6 +1,9 @@
 package asterpulley.net;
 
+import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -12,39 +15,41 @@
  * whoever dialled hears exactly one of connected and failed, the latter never before {@link #dial} has returned.
  * It must never dial twice by itself.
  */
-final class Dialer {
-    private final Config config;
+public final class Dialer {
     private final TCPNIOTransport transport;
     private final Loop loop;
     private final Book book;
     private final Lobby lobby;
-    private final Discovery fleet;
+    private final double connectTimeout;
+    private final UnaryOperator<String> addresses;
 
-    Dialer(Config config, TCPNIOTransport transport, Loop loop, Book book, Lobby lobby, Discovery fleet) {
-        this.config = config;
+    /** {@code addresses}: where a server is reached now, null when that was never told. */
+    public Dialer(double connectTimeout, TCPNIOTransport transport, Loop loop, Book book, Lobby lobby,
+            UnaryOperator<String> addresses) {
+        this.connectTimeout = connectTimeout;
         this.transport = transport;
         this.loop = loop;
         this.book = book;
         this.lobby = lobby;
-        this.fleet = fleet;
+        this.addresses = addresses;
     }
 
     /** Where this backend is reached now; null when that was never told. */
-    String address(String host) {
-        return fleet.dial(host);
+    public String address(String host) {
+        return addresses.apply(host);
     }
 
     /** Starts to connect; null when not even a socket could be had. */
-    Leg dial(String host, FilterChain chain, double timeout, Consumer<Leg> connected, Runnable failed) {
-        String address = address(host);
+    public Leg dial(String host, FilterChain chain, double timeout, Consumer<Leg> connected, Runnable failed) {
+        InetSocketAddress address = Optional.ofNullable(address(host)).flatMap(Addresses::read).orElse(null);
         if (address == null) {
             loop.after(0, failed);
             return null;
         }
         Dial dial = new Dial(transport, connected, failed);
         dial.setProcessor(chain);
-        dial.timer = loop.after(Math.min(config.connectTimeout, timeout), dial::giveUp);
-        dial.connect(Config.address(address), dial.result);
+        dial.timer = loop.after(Math.min(connectTimeout, timeout), dial::giveUp);
+        dial.connect(address, dial.result);
         return dial.leg;
     }
 
--- a/src/main/java/asterpulley/net/Failure.java
+++ b/relay/src/main/java/asterpulley/net/Failure.java
@@ -7,14 +7,14 @@
  * once to the module's outcome, by the table in the platform's protocol. It must never call "known not to have
  * run" what may have run: only a setup whose last byte was not written, or that was turned away, did not run.
  */
-record Failure(Reach reach, Cause cause) {
+public record Failure(Reach reach, Cause cause) {
     /** How far a setup had come, in the order in which it goes. */
-    enum Reach { NOT_CONNECTED, PARTLY_WRITTEN, SENT, OPENED }
+    public enum Reach { NOT_CONNECTED, PARTLY_WRITTEN, SENT, OPENED }
 
     /** What ended it: the backend's word, the connection, or this relay's own patience. */
-    enum Cause { BYE, MOVE, ERR, BUSY, BROKEN, GIVEN_UP, CLIENT_LEFT }
+    public enum Cause { BYE, MOVE, ERR, BUSY, BROKEN, GIVEN_UP, CLIENT_LEFT }
 
-    Outcome outcome() {
+    public Outcome outcome() {
         boolean sent = reach.compareTo(Reach.SENT) >= 0;
         return switch (cause) {
             case BYE -> Outcome.OK;
--- a/src/main/java/asterpulley/net/Leg.java
+++ b/relay/src/main/java/asterpulley/net/Leg.java
@@ -20,34 +20,35 @@
  * ended, and how it is ended (in order, by a reset, or with a last word that the other side must still be able to
  * read). It must never block, never keep more than a bounded amount for a slow reader, and be closed only once.
  */
-final class Leg {
+public final class Leg {
     /** Buffers that wait for a slow reader before its sender is no longer read from, however little each holds. */
     private static final int MOST_WAITING = 16;
     /** What a peer still sends after its last word is read so far and no further: it may be without end. */
     private static final int HEEDLESS = 4 * SocketFilter.BUFFER;
     private static final Attribute<Leg> LEG = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("leg");
 
-    final Connection<SocketAddress> connection;
-    final Gather gather = new Gather();
-    final double since;
+    public final Connection<SocketAddress> connection;
+    /** What the front keeps of words that have come in part. */
+    public Object partly;
+    public final double since;
     private final Loop loop;
     private final Book book;
     private final Lobby lobby;
     /** When it came, or last asked as the front does. */
-    double spokeAt;
+    public double spokeAt;
     /** The tunnel that it belongs to, once there is one. */
-    Passage passage;
+    public Passage passage;
     private int waiting, heedless;
     private boolean endWhenWritten, ended, closed, lingering, deaf;
     private boolean closeWhenWritten;
     /** When something last went out: a slow reader that still reads is not a dead one. */
-    double wroteAt;
-    double lingeringSince;
+    public double wroteAt;
+    public double lingeringSince;
     private Leg feeder;
     private Runnable whenWritten;
 
     @SuppressWarnings("unchecked")
-    Leg(Connection<?> connection, Loop loop, Book book, Lobby lobby) {
+    public Leg(Connection<?> connection, Loop loop, Book book, Lobby lobby) {
         this.connection = (Connection<SocketAddress>) connection;
         this.loop = loop;
         this.book = book;
@@ -58,32 +59,31 @@
         LEG.set(connection, this);
     }
 
-    static Leg of(Connection<?> connection) {
+    public static Leg of(Connection<?> connection) {
         return LEG.get(connection);
     }
 
-    boolean closed() {
+    public boolean closed() {
         return closed;
     }
 
-    boolean lingering() {
+    public boolean lingering() {
         return lingering;
     }
 
-    void line(String line) {
+    public void say(byte[] words) {
         MemoryManager<?> memory = connection.getMemoryManager();
-        Buffer buffer = Buffers.wrap(memory, (line + "\r\n").getBytes(Words.BYTES));
-        write(buffer, null);
+        write(Buffers.wrap(memory, words), null);
     }
 
-    /** Writes a line and tells when its last byte is written. */
-    void line(String line, Runnable written) {
+    /** Writes these words and tells when their last byte is written. */
+    public void say(byte[] words, Runnable written) {
         whenWritten = written;
-        line(line);
+        say(words);
     }
 
     /** Writes these bytes; when too many wait, their sender is not read from until they are gone. */
-    void write(Buffer bytes, Leg from) {
+    public void write(Buffer bytes, Leg from) {
         if (closed || ended || endWhenWritten) {
             bytes.tryDispose();
             return;
@@ -135,7 +135,7 @@
     }
 
     /** Reads on, or leaves what comes to the kernel until it is read on. */
-    void reading(boolean on) {
+    public void reading(boolean on) {
         if (closed || deaf && on) {
             return;
         }
@@ -151,13 +151,13 @@
     }
 
     /** Its incoming direction has ended: nothing more will be read. */
-    void deaf() {
+    public void deaf() {
         deaf = true;
         reading(false);
     }
 
     /** Ends the outgoing direction once all is written; the other direction goes on. */
-    void endSending() {
+    public void endSending() {
         if (closed || ended) {
             return;
         }
@@ -174,7 +174,7 @@
     }
 
     /** The last word is said: ends sending, reads on without heeding, and closes when the peer has, or soon. */
-    void linger() {
+    public void linger() {
         if (closed || lingering) {
             return;
         }
@@ -187,7 +187,7 @@
     }
 
     /** So much came after the last word. Who sends without end fills its own buffers from here on, not our time. */
-    void heedless(int bytes) {
+    public void heedless(int bytes) {
         heedless += bytes;
         if (heedless > HEEDLESS) {
             reading(false);
@@ -195,7 +195,7 @@
     }
 
     /** Closes as soon as all is written: what a slow reader has not read yet is still its own. */
-    void closeInOrder() {
+    public void closeInOrder() {
         if (waiting > 0) {
             closeWhenWritten = true;
         } else {
@@ -203,7 +203,7 @@
         }
     }
 
-    void close() {
+    public void close() {
         if (!closed) {
             closed = true;
             book.sockets--;
@@ -213,14 +213,14 @@
     }
 
     /** The connection is gone without our doing; true the first time this is told. */
-    boolean lost() {
+    public boolean lost() {
         boolean first = !closed;
         close();
         return first;
     }
 
     /** Ends both directions at once so that the peer sees a broken connection. */
-    void reset() {
+    public void reset() {
         if (closed) {
             return;
         }
--- a/src/main/java/asterpulley/net/Lobby.java
+++ b/relay/src/main/java/asterpulley/net/Lobby.java
@@ -7,7 +7,7 @@
  * heard their last word. It bounds how long each may stay, and lets the oldest go where a socket is needed. It must
  * never end a connection that a tunnel uses, nor one that has hardly had the time to say its line.
  */
-final class Lobby {
+public final class Lobby {
     /**
      * A client says its line as it connects, and the front asks anew on a connection of its own: who says nothing for
      * this time, or nothing more, holds a socket that another could use.
@@ -24,13 +24,13 @@
     private final ArrayDeque<Leg> newcomers = new ArrayDeque<>();
     private final ArrayDeque<Leg> leavers = new ArrayDeque<>();
 
-    Lobby(Loop loop, Book book) {
+    public Lobby(Loop loop, Book book) {
         this.loop = loop;
         this.book = book;
     }
 
     /** Starts the watch over who stays too long. */
-    void start() {
+    public void start() {
         double now = loop.now();
         newcomers.removeIf(leg -> leg.closed() || leg.lingering() || leg.passage != null
                 || now - leg.spokeAt > WORDLESS && gone(leg, "wordless"));
@@ -38,16 +38,16 @@
         loop.after(SWEEP, this::start);
     }
 
-    void comes(Leg leg) {
+    public void comes(Leg leg) {
         newcomers.add(leg);
     }
 
-    void leaves(Leg leg) {
+    public void leaves(Leg leg) {
         leavers.add(leg);
     }
 
     /** Frees a socket where somebody can spare one: who was answered already, else who was silent the longest. */
-    boolean giveWay() {
+    public boolean giveWay() {
         for (Leg leg = leavers.poll(); leg != null; leg = leavers.poll()) {
             if (!leg.closed()) {
                 return gone(leg, "gave_way");
--- a/src/main/java/asterpulley/net/Loop.java
+++ b/relay/src/main/java/asterpulley/net/Loop.java
@@ -17,11 +17,11 @@
  * next timer is due and runs what is due between two rounds of sockets, so that sockets, timers and decisions
  * never meet on two threads. It must never block, and a timer that throws must never end the thread.
  */
-final class Loop extends DefaultSelectorHandler {
+public final class Loop extends DefaultSelectorHandler {
     private static final Logger LOG = Logger.getLogger(Loop.class.getName());
 
     /** A timer that was set; a cancelled one is skipped when its time comes. */
-    static final class Due implements Comparable<Due> {
+    public static final class Due implements Comparable<Due> {
         private final double at;
         private final long order;
         private Runnable what;
@@ -32,7 +32,7 @@
             this.what = what;
         }
 
-        void cancel() {
+        public void cancel() {
             what = null;
         }
 
@@ -50,19 +50,19 @@
     private long order;
 
     /** Unix seconds as at the start, moved on by the steady clock: start times of backends compare with it. */
-    double now() {
+    public double now() {
         return wallAtStart + (System.nanoTime() - nanosAtStart) / 1e9;
     }
 
     /** Runs this after so many seconds; only from the loop's own thread, or before it starts. */
-    Due after(double seconds, Runnable what) {
+    public Due after(double seconds, Runnable what) {
         Due due = new Due(now() + Math.max(0, seconds), order++, what);
         timers.add(due);
         return due;
     }
 
     /** Runs this on the loop's thread; the one call that other threads may make. */
-    void handIn(Runnable what) {
+    public void handIn(Runnable what) {
         handedIn.add(what);
         Selector asleep = selector;
         if (asleep != null) {
--- a/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -2,9 +2,13 @@
 
 import asterpulley.Balance;
 import asterpulley.Front;
+import asterpulley.Listed;
 import asterpulley.Outcome;
 import asterpulley.Report;
+import asterpulley.Settings;
 import java.util.ArrayDeque;
+import java.util.List;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -16,7 +20,7 @@
  * through {@link #tell}, one after the other: what a decision sets off on a socket may fail at once, and that must
  * never reach the module while it is still deciding. It must decide nothing itself.
  */
-final class Route extends BaseFilter implements Front {
+public final class Route extends BaseFilter implements Front {
     private static final Logger LOG = Logger.getLogger(Balance.class.getName());
 
     private final Loop loop;
@@ -24,29 +28,25 @@
     private final ArrayDeque<Runnable> calls = new ArrayDeque<>();
     private boolean deciding;
     private Balance balance;
-    private Send send;
-    private Relay relay;
-    private Probes probes;
-    private Discovery discovery;
+    private Consumer<String> probes;
+    private Runnable watch;
 
-    Route(Loop loop, Book book) {
+    public Route(Loop loop, Book book) {
         this.loop = loop;
         this.book = book;
     }
 
-    /** Starts the module once all that it may call stands. */
-    void start(Config config, Send send, Relay relay, Probes probes, Discovery discovery) {
-        this.send = send;
-        this.relay = relay;
+    /** Starts the module once all that it may call stands: who asks servers for their load, and who watches the list. */
+    public void start(Settings settings, long seed, List<Listed> known, Consumer<String> probes, Runnable watch) {
         this.probes = probes;
-        this.discovery = discovery;
+        this.watch = watch;
         tell(() -> {
-            balance = new Balance(config.settings, config.seed, this);
-            balance.list(config.known.servers(), true);
+            balance = new Balance(settings, seed, this);
+            balance.list(known, true);
         });
-        if (!config.settings.listMustBeAsked) {
+        if (!settings.listMustBeAsked) {
             // The module asks only where it must; on sockets news always has to be asked for.
-            discovery.watch();
+            watch.run();
         }
     }
 
@@ -79,10 +79,10 @@
             return ctx.getInvokeAction();
         }
         passage.id = book.enter(passage);
-        if (passage.opening.at() != null) {
-            send.reopen(passage);
+        if (passage.asked.at() != null) {
+            passage.talk.reopen(passage);
         } else {
-            Words.Opening o = passage.opening;
+            Asked o = passage.asked;
             double budget = Double.isNaN(o.patience()) ? 0 : Math.max(1e-3, o.patience());
             tell(() -> passage.handle = balance.take(passage.id, o.profile(), o.customer(), o.group(), o.key(),
                     budget, false));
@@ -98,7 +98,7 @@
     }
 
     /** Guards against a tunnel that nobody answers: at its client's timeout it is closed with error, at the latest. */
-    void overdue(Passage passage) {
+    public void overdue(Passage passage) {
         if (!passage.answered) {
             book.count("overdue");
             drop(passage);
@@ -106,14 +106,14 @@
     }
 
     /** No further setup, the one that is out is given up, and the client is told. */
-    void drop(Passage passage) {
+    public void drop(Passage passage) {
         withdrawn(passage);
-        send.abandon(passage);
+        passage.talk.abandon(passage);
         book.closeWithError(passage);
     }
 
-    void opened(Passage passage) {
-        Words.Opening o = passage.opening;
+    public void opened(Passage passage) {
+        Asked o = passage.asked;
         if (passage.handle == null) {
             tell(() -> passage.handle = balance.standing(passage.id, o.profile(), o.customer(), o.group(), o.key(),
                     passage.host));
@@ -125,7 +125,7 @@
     }
 
     /** A setup, or what it opened, has ended. */
-    void ended(Passage passage, Failure failure) {
+    public void ended(Passage passage, Failure failure) {
         if (passage.handle != null || deciding) {
             int setup = passage.setups - 1;
             double lag = loop.now() - passage.sentAt;
@@ -134,33 +134,33 @@
         }
     }
 
-    void withdrawn(Passage passage) {
+    public void withdrawn(Passage passage) {
         if (passage.handle != null || deciding) {
             tell(() -> passage.handle.withdrawn());
         }
     }
 
-    void load(Passage passage, double cores) {
+    public void load(Passage passage, double cores) {
         if (passage.handle != null) {
             tell(() -> passage.handle.load(cores));
         }
     }
 
-    void delay(Passage passage, double message) {
+    public void delay(Passage passage, double message) {
         if (passage.handle != null) {
             tell(() -> passage.handle.delay(message));
         }
     }
 
-    void probed(String host, Outcome outcome, Report report) {
+    public void probed(String host, Outcome outcome, Report report) {
         tell(() -> balance.probed(host, outcome, report));
     }
 
-    void listed(Words.Fleet fleet) {
-        tell(() -> balance.list(fleet.servers(), fleet.whole()));
+    public void listed(List<Listed> servers, boolean whole) {
+        tell(() -> balance.list(servers, whole));
     }
 
-    void listFailed() {
+    public void listFailed() {
         tell(() -> balance.listFailed());
     }
 
@@ -175,7 +175,7 @@
     public void setup(Balance.Tunnel tun, String ep, double timeout) {
         Passage passage = book.find(tun.id);
         if (passage != null) {
-            send.setup(passage, ep, timeout);
+            passage.talk.setup(passage, ep, timeout);
         }
     }
 
@@ -193,18 +193,18 @@
     public void move(Balance.Tunnel tun) {
         Passage passage = book.find(tun.id);
         if (passage != null) {
-            relay.move(passage);
+            passage.talk.move(passage);
         }
     }
 
     @Override
     public void probe(String ep) {
-        probes.ask(ep);
+        probes.accept(ep);
     }
 
     @Override
     public void watch() {
-        discovery.watch();
+        watch.run();
     }
 
     @Override
--- a/src/main/java/asterpulley/net/SocketFilter.java
+++ b/relay/src/main/java/asterpulley/net/SocketFilter.java
@@ -18,20 +18,20 @@
  * transport filter would, because that one closes a connection at the end of its incoming direction and cannot
  * tell it from a reset; here both go up the chain as messages of their own. It must never interpret a byte.
  */
-final class SocketFilter extends BaseFilter {
+public final class SocketFilter extends BaseFilter {
     private static final Logger LOG = Logger.getLogger(SocketFilter.class.getName());
-    /** The one size of all buffers: the longest line. */
-    static final int BUFFER = Words.LONGEST;
+    /** The one size of all buffers. */
+    public static final int BUFFER = 4096;
 
     /** How the incoming direction ended: in order, or by a reset. */
-    enum End { FIN, RESET }
+    public enum End { FIN, RESET }
 
     private final TCPNIOTransport transport;
     private final Loop loop;
     private final Book book;
     private final Lobby lobby;
 
-    SocketFilter(TCPNIOTransport transport, Loop loop, Book book, Lobby lobby) {
+    public SocketFilter(TCPNIOTransport transport, Loop loop, Book book, Lobby lobby) {
         this.transport = transport;
         this.loop = loop;
         this.book = book;
--- /dev/null
+++ b/relay/src/main/java/asterpulley/net/Talk.java
@@ -0,0 +1,25 @@
+package asterpulley.net;
+
+/**
+ * What the shared stages ask of a protocol front: its words towards clients, and its side towards servers. A front
+ * hands one of these in with every passage. It must never decide anything, and never have two setups of a passage out.
+ */
+public interface Talk {
+    /** Sends one setup; its end is told to {@link Route}. */
+    void setup(Passage passage, String host, double timeout);
+
+    /** Sends a tunnel that stood before the relay started to where it stood. */
+    void reopen(Passage passage);
+
+    /** Gives up the setup that is out, if any. */
+    void abandon(Passage passage);
+
+    /** Sends a standing client elsewhere, as soon as nothing is under way to it in part. */
+    void move(Passage passage);
+
+    /** Says that the tunnel is declined; come back after so many seconds (0: no advice). */
+    void decline(Leg client, double retryAfter);
+
+    /** Says that the tunnel is closed with error. */
+    void closeWithError(Leg client);
+}
--- a/src/main/java/asterpulley/net/Config.java
+++ b/relay/src/main/java/asterpulley/serve/Config.java
@@ -1,8 +1,11 @@
-package asterpulley.net;
+package asterpulley.serve;
 
 import asterpulley.Settings;
 import asterpulley.decode.Json;
 import asterpulley.decode.SettingsDecoder;
+import asterpulley.line.Words;
+import asterpulley.list.Fleet;
+import asterpulley.net.Addresses;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -27,30 +30,41 @@
     final double connectTimeout;
     final Settings settings;
     final Words words;
-    final Words.Fleet known;
+    final Fleet.Names names;
+    final Fleet known;
     private final Map<String, Object> told;
 
     private Config(Map<String, Object> in) {
         told = Json.object(in.get("settings"), "settings");
         name = Json.text(in, "name");
         listen = address(Json.text(in, "listen"));
-        discovery = address(Json.text(in, "discovery"));
+        discovery = in.get("discovery") == null ? null : address(Json.text(in, "discovery"));
         seed = seed(Json.text(in, "seed"));
         sockets = (int) Json.number(Json.part(in, "limits"), "sockets", 1024);
         memory = Json.number(Json.part(in, "limits"), "memory_mb", 192) * (1 << 20);
         connectTimeout = Json.number(Json.part(told, "limits"), "dialTimeoutMs", 1000) / 1000;
         settings = SettingsDecoder.settings(told);
         words = new Words(told);
-        known = words.fleet(Json.object(in.get("known"), "known"));
+        names = new Fleet.Names(told);
+        known = Fleet.read(Json.object(in.get("known"), "known"), names);
         if (settings.profiles.isEmpty()) {
             throw new Json.Malformed("settings name no profiles");
         }
     }
 
+    /** What the file of another form says, under the same names. */
+    static Config of(Map<String, Object> in) {
+        return new Config(in);
+    }
+
     static Config read(Path file) throws IOException {
+        return new Config(json(file));
+    }
+
+    static Map<String, Object> json(Path file) throws IOException {
         try (JsonParser parser = new JsonFactory().createParser(Files.newInputStream(file))) {
             parser.nextToken();
-            return new Config(Json.object(Json.value(parser), "the configuration"));
+            return Json.object(Json.value(parser), "the configuration");
         } catch (JsonProcessingException e) {
             throw new Json.Malformed("not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
         }
@@ -69,17 +83,7 @@
         }
     }
 
-    /** Addresses come as numbers: there are no names to look up. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
-                return new InetSocketAddress(text.substring(0, colon), port);
-            }
-        } catch (IllegalArgumentException e) {
-            // Told below like every other wrong address.
-        }
-        throw new Json.Malformed("'" + text + "' is not an address and a port");
+    private static InetSocketAddress address(String text) {
+        return Addresses.read(text).orElseThrow(() -> new Json.Malformed("'" + text + "' is not an address and a port"));
     }
 }
--- /dev/null
+++ b/relay/src/main/java/asterpulley/serve/Main.java
@@ -0,0 +1,23 @@
+package asterpulley.serve;
+
+/** The platform's command line of one relay: nothing but {@code serve}, so that nothing else is loaded. */
+public final class Main {
+    private static final String USAGE = """
+            usage: serve     relay tunnels on sockets; LB_CONFIG names the file of what the relay is told
+                   --help    print this
+            """;
+
+    private Main() {
+    }
+
+    public static void main(String[] args) {
+        if (args.length == 1 && args[0].equals("--help")) {
+            System.out.print(USAGE);
+        } else if (args.length == 1 && args[0].equals("serve")) {
+            System.exit(Serve.run(System.err));
+        } else {
+            System.err.print(USAGE);
+            System.exit(2);
+        }
+    }
+}
--- a/src/main/java/asterpulley/net/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -1,10 +1,27 @@
-package asterpulley.net;
+package asterpulley.serve;
+
+import static asterpulley.net.Addresses.text;
 
 import asterpulley.decode.Json;
+import asterpulley.line.LineTalk;
+import asterpulley.line.Probes;
+import asterpulley.line.Relay;
+import asterpulley.line.Send;
+import asterpulley.line.TakeIn;
+import asterpulley.list.Discovery;
+import asterpulley.net.Admit;
+import asterpulley.net.Book;
+import asterpulley.net.Dialer;
+import asterpulley.net.Lobby;
+import asterpulley.net.Loop;
+import asterpulley.net.Passage;
+import asterpulley.net.Route;
+import asterpulley.net.SocketFilter;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
@@ -51,7 +68,6 @@
     private final Loop loop = new Loop();
     private final Book book = new Book();
     private final Route route;
-    private final Relay relay;
     private final Discovery discovery;
     private final Admit admit;
     private final TCPNIOTransport transport;
@@ -72,25 +88,27 @@
                 .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
         Lobby lobby = new Lobby(loop, book);
         route = new Route(loop, book);
-        discovery = new Discovery(config, loop, book, route, transport);
-        Dialer dialer = new Dialer(config, transport, loop, book, lobby, discovery);
+        discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
+        Dialer dialer = new Dialer(config.connectTimeout, transport, loop, book, lobby, discovery::dial);
+        LineTalk talk = new LineTalk();
         Send send = new Send(loop, book, dialer, route);
-        relay = new Relay(loop, book, route, send);
+        Relay relay = new Relay(loop, book, route, send);
+        talk.through(send, relay);
         Probes probes = new Probes(config.settings, loop, book, dialer, route);
         SocketFilter sockets = new SocketFilter(transport, loop, book, lobby);
-        admit = new Admit(config.settings, book, lobby, new Random(config.seed));
+        admit = new Admit(config.settings, talk, book, lobby, new Random(config.seed));
         limits();
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
         probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
         discovery.through(FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter())
                 .add(discovery).build());
         transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
-                .add(new TakeIn(loop, config.words, book, lobby)).add(admit).add(route).add(relay).build());
+                .add(new TakeIn(loop, config.words, talk, book, lobby)).add(admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
         loop.handIn(() -> {
-            route.start(config, send, relay, probes, discovery);
+            route.start(config.settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
             lobby.start();
             relay.start();
             probes.start();
@@ -117,9 +135,9 @@
      * Told to read its configuration anew, from any thread but the loop's. A file that can't be read leaves the relay
      * as it was. Two that come together are read one after the other, so that the later file is the one that holds.
      */
-    synchronized void reload(Path file) {
+    synchronized void reload(Source source) {
         try {
-            Config anew = Config.read(file);
+            Config anew = source.read();
             loop.handIn(() -> changeTo(anew));
         } catch (IOException | RuntimeException e) {
             LOG.warning("configuration kept, the new one cannot be read: " + e.getMessage());
@@ -127,27 +145,48 @@
     }
 
     private void changeTo(Config anew) {
-        LOG.info("configuration read anew: discovery " + text(config.discovery) + " to " + text(anew.discovery)
+        LOG.info("configuration read anew: " + (anew.discovery == null
+                ? "backends " + config.known.servers().size() + " to " + anew.known.servers().size()
+                : "discovery " + text(config.discovery) + " to " + text(anew.discovery))
                 + ", sockets " + anew.sockets + ", held " + book.held()
                 + (config.needsStart(anew) ? "; changes of name, listen and settings wait for a restart" : ""));
         book.count("configurations");
         config = anew;
         limits();
-        discovery.moveTo(anew.discovery);
+        if (anew.discovery == null) {
+            discovery.tell(anew.known);
+        } else {
+            discovery.moveTo(anew.discovery);
+        }
+    }
+
+    /** Where a configuration is read from, at the start and anew at every SIGHUP. */
+    public interface Source {
+        /** What the configuration says, under the platform's names; a plain message where it can't be read. */
+        Map<String, Object> told() throws IOException;
+
+        private Config read() throws IOException {
+            return Config.of(told());
+        }
     }
 
-    /** Serves until told to end; returns the exit status. */
+    /** Serves as the platform tells it, until told to end; returns the exit status. */
     public static int run(PrintStream stderr) {
         System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
-        GRIZZLY.setLevel(Level.WARNING);
         String file = System.getenv("LB_CONFIG");
         if (file == null || file.isEmpty()) {
             stderr.println("asterpulley serve: LB_CONFIG names no configuration");
             return 1;
         }
+        return run(file, () -> Config.json(Path.of(file)), stderr);
+    }
+
+    /** Serves by a configuration of any form, until told to end; returns the exit status. */
+    public static int run(String file, Source source, PrintStream stderr) {
+        GRIZZLY.setLevel(Level.WARNING);
         Config config;
         try {
-            config = Config.read(Path.of(file));
+            config = source.read();
         } catch (IOException e) {
             stderr.println("asterpulley serve: cannot read the configuration " + file + ": "
                     + e.getClass().getSimpleName());
@@ -159,10 +198,10 @@
         try {
             Serve serve = new Serve(config);
             Signal.handle(new Signal("TERM"), s -> serve.end());
-            Signal.handle(new Signal("HUP"), s -> serve.reload(Path.of(file)));
+            Signal.handle(new Signal("HUP"), s -> serve.reload(source));
             Signal.handle(new Signal("USR1"), s -> serve.counted(book -> LOG.info(book.toString())));
             serve.open();
-            LOG.info("serving " + config.name + " at " + text(config.listen) + ", backends known "
+            LOG.info("serving " + config.name + " at " + text(serve.address()) + ", backends known "
                     + config.known.servers().size() + ", sockets " + config.sockets);
             serve.await();
             return 0;
@@ -174,10 +213,6 @@
         }
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
     InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalAddress();
     }
@@ -226,7 +261,7 @@
         for (Passage passage : book.all()) {
             if (passage.standing && !passage.moving && movesOwed >= 1) {
                 movesOwed--;
-                relay.move(passage);
+                passage.talk.move(passage);
             }
         }
         if (since > leave) {
--- /dev/null
+++ b/relay/src/test/java/asterpulley/serve/BordersTest.java
@@ -0,0 +1,37 @@
+package asterpulley.serve;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** The borders within the relay; those between modules are the build's own. */
+class BordersTest {
+    private final JavaClasses relay = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("asterpulley");
+
+    @Test
+    void whatEveryFrontSharesKnowsNoProtocol() {
+        classes().that().resideInAPackage("asterpulley.net..").should().onlyDependOnClassesThat()
+                .resideOutsideOfPackages("asterpulley.line..", "asterpulley.list..", "asterpulley.serve..")
+                .check(relay);
+    }
+
+    @Test
+    void theLineProtocolAndTheListKnowNothingOfEachOther() {
+        noClasses().that().resideInAPackage("asterpulley.line..").should().dependOnClassesThat()
+                .resideInAnyPackage("asterpulley.list..", "asterpulley.serve..").check(relay);
+        noClasses().that().resideInAPackage("asterpulley.list..").should().dependOnClassesThat()
+                .resideInAnyPackage("asterpulley.line..", "asterpulley.serve..").check(relay);
+    }
+
+    @Test
+    void decisionsDoNoInputOrOutput() {
+        noClasses().that().resideInAPackage("asterpulley").should().dependOnClassesThat()
+                .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "org.glassfish..", "asterpulley.net..")
+                .check(relay);
+    }
+}
--- a/src/test/java/asterpulley/DeployTest.java
+++ b/relay/src/test/java/asterpulley/serve/DeployTest.java
@@ -1,4 +1,4 @@
-package asterpulley;
+package asterpulley.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -20,7 +20,7 @@
         assertTrue(java.toFile().setExecutable(true));
         Path file = folder.resolve("config.json");
         Files.writeString(file, config);
-        ProcessBuilder run = new ProcessBuilder("sh", "deploy/run").redirectErrorStream(true);
+        ProcessBuilder run = new ProcessBuilder("sh", "../deploy/run").redirectErrorStream(true);
         run.environment().merge("PATH", folder.toString(), (old, ours) -> ours + ":" + old);
         run.environment().put("LB_CONFIG", file.toString());
         Process process = run.start();
--- a/src/test/java/asterpulley/net/ServeTest.java
+++ b/relay/src/test/java/asterpulley/serve/ServeTest.java
@@ -1,4 +1,4 @@
-package asterpulley.net;
+package asterpulley.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import asterpulley.decode.Json;
+import asterpulley.line.Words;
+import asterpulley.net.Failure;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -749,7 +751,7 @@
         registry.calls.take();
         for (int version = 7; version < 9; version++) {
             config(1000);
-            serve.reload(folder.resolve("config.json"));
+            serve.reload(() -> Config.json(folder.resolve("config.json")));
             assertEquals("/registry/instances", registry.calls.take(), "the whole list, of the new address");
             End client = client("chat", 2000);
             one.opens();
@@ -759,10 +761,10 @@
         }
         for (String unreadable : List.of("", "{", "[]", "{\"settings\":{}}")) {
             Files.writeString(folder.resolve("config.json"), unreadable);
-            serve.reload(folder.resolve("config.json"));
+            serve.reload(() -> Config.json(folder.resolve("config.json")));
         }
-        serve.reload(folder.resolve("none.json"));
-        serve.reload(folder);
+        serve.reload(() -> Config.json(folder.resolve("none.json")));
+        serve.reload(() -> Config.json(folder));
         registry.tells(9, true, two.entry("s2", "up"));
         assertTrue(registry.calls.take().startsWith("/registry/instances?index=9&"));
         End client = client("chat", 2000);
