Laboratory, thin path: an experiment on sockets or in virtual time, with a verdict

Need: nobody could start this program without the operators' platform, and every test wrote its own servers and clients.

--- /dev/null
+++ b/cli/src/main/java/asterpulley/cli/CheckCommand.java
@@ -0,0 +1,48 @@
+package asterpulley.cli;
+
+import asterpulley.files.Sheet;
+import asterpulley.lab.plan.PlanReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Reads an operator's file and tells all that is wrong with it, without starting anything. */
+@Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Tells all that is wrong with a file, with line and path, in one pass; starts nothing.")
+final class CheckCommand implements Callable<Integer> {
+    /** What kinds of file there are. */
+    enum Kind { RELAY, EXPERIMENT }
+
+    @Parameters(paramLabel = "FILE.toml", description = "The file.")
+    private Path file;
+
+    @Option(names = "--as", paramLabel = "relay|experiment",
+            description = "What it is; by default a relay's file where it says listen, else an experiment.")
+    private Kind kind;
+
+    @Override
+    public Integer call() throws IOException {
+        if (!Files.isReadable(file)) {
+            System.err.println("asterpulley check: " + file + " cannot be read");
+            return Main.BAD_INPUT;
+        }
+        Sheet sheet = Sheet.read(file);
+        boolean relay = kind == null ? sheet.root().has("listen") : kind == Kind.RELAY;
+        if (relay) {
+            RelayFile.read(sheet);
+        } else {
+            PlanReader.read(sheet, file.getFileName().toString().replace(".toml", ""));
+        }
+        List<String> problems = sheet.problems();
+        problems.forEach(System.err::println);
+        if (problems.isEmpty()) {
+            System.out.println(file + ": a good " + (relay ? "relay file" : "experiment"));
+        }
+        return problems.isEmpty() ? Main.DONE : Main.BAD_INPUT;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/asterpulley/cli/LabCommand.java
@@ -0,0 +1,215 @@
+package asterpulley.cli;
+
+import asterpulley.files.Sheet;
+import asterpulley.lab.Lab;
+import asterpulley.lab.plan.Plan;
+import asterpulley.lab.plan.PlanReader;
+import asterpulley.lab.report.Outcome;
+import asterpulley.lab.report.Reports;
+import asterpulley.lab.report.Tables;
+import asterpulley.lab.sock.Cost;
+import asterpulley.lab.sock.LoadTool;
+import asterpulley.net.Addresses;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The laboratory's commands. */
+@Command(name = "lab", mixinStandardHelpOptions = true, description = "Plays experiments, drives load, measures cost.",
+        subcommands = {LabCommand.Run.class, LabCommand.Load.class, LabCommand.Costs.class})
+final class LabCommand implements Callable<Integer> {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(System.err);
+        return Main.BAD_USAGE;
+    }
+
+    /** Where an experiment is played. */
+    enum On { MODEL, SOCKETS, BOTH }
+
+    /** Plays one experiment. */
+    @Command(name = "run", mixinStandardHelpOptions = true,
+            description = "Plays an experiment and says whether what it expects holds: status 0 or 3.")
+    static final class Run implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE.toml", description = "The experiment.")
+        private Path file;
+
+        @Option(names = "--on", paramLabel = "model|sockets|both", description = "The carrier; by default as the file says.")
+        private On on;
+
+        @Option(names = "--seed", description = "Another seed than the file's.")
+        private Long seed;
+
+        @Option(names = "--quick", description = "Everything in half the time.")
+        private boolean quick;
+
+        @Option(names = "--no-baselines", description = "Leaves out the file's baselines.")
+        private boolean bare;
+
+        @Option(names = "--json", paramLabel = "FILE", description = "Writes all figures as JSON; - for standard output.")
+        private Path json;
+
+        @Option(names = "--html", paramLabel = "FILE", description = "Writes a page with plots over time.")
+        private Path html;
+
+        @Override
+        public Integer call() throws IOException {
+            if (!Files.isReadable(file)) {
+                System.err.println("asterpulley lab run: " + file + " cannot be read");
+                return Main.BAD_INPUT;
+            }
+            Sheet sheet = Sheet.read(file);
+            Plan plan = PlanReader.read(sheet, file.getFileName().toString().replace(".toml", ""));
+            if (!sheet.problems().isEmpty()) {
+                sheet.problems().forEach(System.err::println);
+                return Main.BAD_INPUT;
+            }
+            if (seed != null) {
+                plan.seed = seed;
+            }
+            if (bare) {
+                plan.baselines.clear();
+            }
+            if (quick) {
+                plan.halve();
+            }
+            boolean toOut = json != null && json.toString().equals("-");
+            Lab lab = new Lab(toOut ? System.err : System.out);
+            List<Outcome> all = lab.play(plan, on == null ? plan.on : on.name().toLowerCase());
+            boolean good = lab.verdict(plan, all);
+            if (toOut) {
+                System.out.write(Reports.json(plan, all));
+                System.out.println();
+            } else if (json != null) {
+                Files.write(json, Reports.json(plan, all));
+            }
+            if (html != null) {
+                Reports.html(plan, all, html);
+            }
+            return good ? Main.DONE : Main.FELL_SHORT;
+        }
+    }
+
+    /** Drives an address. */
+    @Command(name = "load", mixinStandardHelpOptions = true, description = {
+        "Drives a relay, or a server directly, at a stated rate, and prints what clients saw.",
+        "Times count from when an opening was due, also where it had to wait for another."})
+    static final class Load implements Callable<Integer> {
+        @Option(names = "--to", required = true, paramLabel = "ADDRESS:PORT", description = "What to drive; loopback only.")
+        private String to;
+
+        @Option(names = "--rate", defaultValue = "100", description = "Openings a second; ${DEFAULT-VALUE}.")
+        private double rate;
+
+        @Option(names = "--for-s", defaultValue = "10", description = "Seconds; ${DEFAULT-VALUE}.")
+        private double seconds;
+
+        @Option(names = "--life-s", defaultValue = "1", description = "How long each tunnel stands; ${DEFAULT-VALUE}.")
+        private double life;
+
+        @Option(names = "--patience-s", defaultValue = "3", description = "How long a client waits; ${DEFAULT-VALUE}.")
+        private double patience;
+
+        @Option(names = "--concurrency", defaultValue = "10000", description = "Open at once at most; ${DEFAULT-VALUE}.")
+        private int concurrency;
+
+        @Option(names = "--profile", defaultValue = "live", description = "The profile's name; ${DEFAULT-VALUE}.")
+        private String profile;
+
+        @Option(names = "--customer", defaultValue = "all", description = "The customer's name; ${DEFAULT-VALUE}.")
+        private String customer;
+
+        @Option(names = "--seed", defaultValue = "1", description = "Of the times between openings; ${DEFAULT-VALUE}.")
+        private long seed;
+
+        @Option(names = "--json", paramLabel = "FILE", description = "Writes the figures as JSON.")
+        private Path json;
+
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            LoadTool.Order order = new LoadTool.Order();
+            order.to = Addresses.read(to).orElseThrow(() -> wrong("--to: '" + to + "' is not an address and a port"));
+            if (!order.to.getAddress().isLoopbackAddress()) {
+                throw wrong("--to: only loopback addresses are driven");
+            }
+            if (!(rate > 0 && rate <= 100_000 && seconds > 0 && seconds <= 3600 && life >= 0 && patience > 0
+                    && concurrency > 0)) {
+                throw wrong("a rate up to 100000 a second, a time up to 3600 s, and nothing below 0");
+            }
+            order.rate = rate;
+            order.seconds = seconds;
+            order.life = life;
+            order.patience = patience;
+            order.concurrency = concurrency;
+            order.profile = profile;
+            order.customer = customer;
+            order.seed = seed;
+            LoadTool tool = LoadTool.drive(order);
+            Map<String, Object> figures = tool.figures();
+            print(figures);
+            if (json != null) {
+                Files.write(json, JSON.writeValueAsBytes(figures));
+            }
+            if (!tool.worthIt()) {
+                System.out.println("no verdict: this tool could not keep its own pace");
+                return Main.FELL_SHORT;
+            }
+            return tool.opened > 0 ? Main.DONE : Main.FELL_SHORT;
+        }
+
+        private CommandLine.ParameterException wrong(String what) {
+            return new CommandLine.ParameterException(spec.commandLine(), what);
+        }
+    }
+
+    /** Measures what a relay costs. */
+    @Command(name = "cost", mixinStandardHelpOptions = true, description = {
+        "Measures a relay on this machine: setup time through it over direct, in turn; processor time a setup; memory a",
+        "standing tunnel. Prints ratios with their spread."})
+    static final class Costs implements Callable<Integer> {
+        @Option(names = "--rate", defaultValue = "300", description = "Openings a second; ${DEFAULT-VALUE}.")
+        private double rate;
+
+        @Option(names = "--round-s", defaultValue = "4", description = "Seconds a round; ${DEFAULT-VALUE}.")
+        private double seconds;
+
+        @Option(names = "--rounds", defaultValue = "5", description = "Rounds; ${DEFAULT-VALUE}.")
+        private int rounds;
+
+        @Option(names = "--standing", defaultValue = "4000", description = "Tunnels for the memory; ${DEFAULT-VALUE}.")
+        private int standing;
+
+        @Option(names = "--json", paramLabel = "FILE", description = "Writes the figures as JSON.")
+        private Path json;
+
+        @Override
+        public Integer call() throws IOException {
+            Map<String, Object> figures = Cost.measure(rate, seconds, rounds, standing, System.out);
+            print(figures);
+            if (json != null) {
+                Files.write(json, JSON.writeValueAsBytes(figures));
+            }
+            return Boolean.TRUE.equals(figures.get("kept_pace")) ? Main.DONE : Main.FELL_SHORT;
+        }
+    }
+
+    private static void print(Map<String, Object> figures) {
+        figures.forEach((k, v) -> System.out.printf("%-28s %s%n", k, v instanceof Double d ? Tables.plain(d) : v));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/asterpulley/cli/RelayFile.java
@@ -0,0 +1,138 @@
+package asterpulley.cli;
+
+import asterpulley.files.Part;
+import asterpulley.files.Sheet;
+import asterpulley.net.Addresses;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * An operator's file for one relay, read into what the platform would tell that relay. It must know every key that it
+ * takes, and hold nothing that the relay does not.
+ */
+final class RelayFile {
+    private static final double LONG = 3600;
+
+    private RelayFile() {
+    }
+
+    /** Reads the whole of it; ask the sheet for its problems before it is used. */
+    static Map<String, Object> read(Sheet sheet) {
+        Part root = sheet.root();
+        Map<String, Object> config = new LinkedHashMap<>();
+        config.put("name", root.text("name", "relay"));
+        config.put("listen", address(root.need("listen"), "listen", "127.0.0.1:0"));
+        config.put("seed", Long.toHexString(root.has("seed") ? root.whole("seed", 1, 0, Integer.MAX_VALUE)
+                : System.nanoTime() ^ ProcessHandle.current().pid()));
+        Part limits = root.part("limits");
+        config.put("limits", map("memory_mb", limits.whole("memory_mb", 192, 32, 1 << 20),
+                "sockets", limits.whole("sockets", 1024, 64, 1 << 20)));
+        List<Object> zones = new ArrayList<>(root.texts("zones"));
+        if (zones.isEmpty()) {
+            zones.add("here");
+        }
+        String zone = root.text("zone", String.valueOf(zones.get(0)));
+        if (!zones.contains(zone)) {
+            root.wrong("zone", "'" + zone + "' is none of zones", null);
+        }
+        Part list = root.part("list");
+        if (list.has("discovery")) {
+            config.put("discovery", address(list, "discovery", "127.0.0.1:1"));
+        }
+        List<Object> models = new ArrayList<>();
+        config.put("known", map("seq", 0, "whole", true, "hosts", servers(root, zones, models)));
+        Map<String, Object> settings = new LinkedHashMap<>();
+        settings.put("zones", zones);
+        settings.put("models", models);
+        settings.put("myZone", Math.max(0, zones.indexOf(zone)));
+        settings.put("siblings", root.whole("relays", 1, 1, 100_000));
+        settings.put("registryMode", list.has("discovery") ? "subscribe" : "none");
+        settings.put("profiles", profiles(root));
+        settings.put("tenants", customers(root));
+        settings.put("familyInfo", map("groups", root.flag("groups_share_work", false)));
+        settings.put("tickMs", 4.0);
+        Part setups = root.part("setups");
+        double back = setups.number("longest_retry_after_s", 1.5, 0, LONG);
+        settings.put("limits", map("probes", setups.flag("probes", true), "retryAfter", back > 0, "maxRetryAfterMs", back * 1e3,
+                "mostSetups", setups.whole("most", 3, 1, 100),
+                "dialTimeoutMs", setups.number("connect_timeout_s", 1, 0.01, 60) * 1e3));
+        Part cold = root.part("cold");
+        settings.put("rules", map("askEveryMs", list.number("deemed_told_s", 6, 0.5, LONG) * 1e3,
+                "coldFrom", cold.number("from", 0.1, 0.01, 1), "coldMs", cold.number("warm_up_s", 20, 0.1, LONG) * 1e3,
+                "fallMultiple", cold.number("fall_multiple", 2, 1, 100),
+                "fallMs", cold.number("fall_s", 1, 0.1, 60) * 1e3));
+        Part fees = root.part("fees");
+        settings.put("fees", map("crossZone", fees.number("crossing", 0, 0, 1), "probe", fees.number("probe", 0, 0, 1)));
+        config.put("settings", settings);
+        return config;
+    }
+
+    private static List<Object> servers(Part root, List<Object> zones, List<Object> models) {
+        List<Object> hosts = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Part p : root.parts("server")) {
+            String name = p.need("name", "dial").text("name", "");
+            if (!names.add(name)) {
+                p.wrong("name", "'" + name + "' is there twice", null);
+            }
+            String zone = p.text("zone", String.valueOf(zones.get(0)));
+            if (!zones.contains(zone)) {
+                p.wrong("zone", "'" + zone + "' is none of zones", null);
+            }
+            String model = p.text("model", "server");
+            if (!models.contains(model)) {
+                models.add(model);
+            }
+            String state = p.oneOf("state", "up", "up", "draining");
+            hosts.add(map("host", name, "dial", address(p, "dial", "127.0.0.1:1"), "site", zone, "class", model,
+                    "block", p.whole("cell", 0, 0, 1 << 20), "health", state, "share", 1.0, "born_ms", 0));
+        }
+        return hosts;
+    }
+
+    private static List<Object> profiles(Part root) {
+        List<Object> profiles = new ArrayList<>();
+        for (Part p : root.parts("profile")) {
+            String effect = switch (p.oneOf("effect", "repeatable", "repeatable", "referenced", "once-only")) {
+                case "referenced" -> "idempotency_key";
+                case "once-only" -> "non_idempotent";
+                default -> "read_like";
+            };
+            double goal = p.number("setup_goal_s", 0.5, 0.01, 60);
+            profiles.add(map("name", p.need("name").text("name", ""), "effect", effect,
+                    "group", p.oneOf("reach", "cell", "all", "zone", "cell"), "setupGoalMs", goal * 1e3,
+                    "clientTimeoutMs", p.number("client_timeout_s", Math.max(2, goal), goal, LONG) * 1e3,
+                    "windowMs", p.number("window_s", 0, 0, LONG) * 1e3, "credit", p.number("credit", 1, 0, 1e6)));
+        }
+        if (profiles.isEmpty()) {
+            root.need("profile");
+        }
+        return profiles;
+    }
+
+    private static List<Object> customers(Part root) {
+        List<Object> customers = new ArrayList<>();
+        for (Part p : root.parts("customer")) {
+            customers.add(map("name", p.need("name").text("name", ""), "share", p.number("share", 1, 0, 1)));
+        }
+        return customers;
+    }
+
+    private static String address(Part of, String key, String missing) {
+        String text = of.text(key, missing);
+        return Addresses.read(text).isPresent() ? text
+                : of.wrong(key, "'" + text + "' is not an address and a port", missing);
+    }
+
+    private static Map<String, Object> map(Object... pairs) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i < pairs.length; i += 2) {
+            map.put((String) pairs[i], pairs[i + 1]);
+        }
+        return map;
+    }
+}
--- /dev/null
+++ b/files/src/test/java/asterpulley/files/SheetTest.java
@@ -0,0 +1,53 @@
+package asterpulley.files;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What an operator is told of a file: everything that is wrong, in one pass, with its place. */
+class SheetTest {
+    private static List<String> read(String text) {
+        Sheet sheet = Sheet.of("f.toml", text);
+        Part root = sheet.root();
+        root.need("name").text("name", "");
+        root.number("rate", 1, 0, 10);
+        root.whole("count", 1, 1, 5);
+        root.flag("on", false);
+        root.oneOf("kind", "a", "a", "b");
+        root.texts("zones");
+        for (Part p : root.parts("server")) {
+            p.need("dial").text("dial", "");
+            p.part("warm").number("up_s", 0, 0, 100);
+        }
+        return sheet.problems();
+    }
+
+    @Test
+    void aFileWithoutFaultSaysNothing() {
+        assertEquals(List.of(), read("name = \"a\"\nrate = 3\n[[server]]\ndial = \"x\"\nwarm.up_s = 4\n"));
+    }
+
+    @Test
+    void allFaultsAreToldInOnePassWithTheirLines() {
+        assertEquals(List.of(
+                "f.toml:1: name: is missing",
+                "f.toml:1: rate: 11 is not between 0 and 10",
+                "f.toml:2: count: is not a whole number",
+                "f.toml:3: kind: 'c' is none of a, b",
+                "f.toml:4: zonse: is no key here; do you mean zones?",
+                "f.toml:5: on: is neither true nor false",
+                "f.toml:6: server[0].dial: is missing",
+                "f.toml:8: server[0].warm.up_s: is not a number",
+                "f.toml:10: server[1].dial: is not a text"),
+                read("rate = 11\ncount = 1.5\nkind = \"c\"\nzonse = []\non = \"yes\"\n"
+                        + "[[server]]\n[server.warm]\nup_s = \"x\"\n[[server]]\ndial = 3\n"));
+    }
+
+    @Test
+    void whatIsNoTomlIsToldWithItsLine() {
+        List<String> told = read("name = \"a\"\nrate = = 3\n");
+        assertTrue(told.get(0).startsWith("f.toml:2: "), told.toString());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/model/Host.java
@@ -0,0 +1,20 @@
+package asterpulley.lab.model;
+
+/** What a relay's decisions ask of the relay in virtual time; the same as a front's, by the tunnel's number. */
+interface Host {
+    double now();
+
+    void setup(long id, String server, double timeout);
+
+    void decline(long id, double retryAfter);
+
+    void closeWithError(long id);
+
+    void move(long id);
+
+    void probe(String server);
+
+    void watch();
+
+    void wake(double after, long token);
+}
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/model/PlainBrain.java
@@ -0,0 +1,221 @@
+package asterpulley.lab.model;
+
+import asterpulley.Listed;
+import asterpulley.Outcome;
+import asterpulley.Report;
+import asterpulley.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
+
+/**
+ * The textbook policies to compare with: random, round robin, least own tunnels, the better of two random choices, and
+ * an ideal that sees every server as it is. All of them leave a server out for a while that failed three times in a row,
+ * try again only where that is lawful, and move what stands on a draining server. It must keep the four rules as far as
+ * such a policy can, so that what it is compared by is its choice.
+ */
+final class PlainBrain implements Brain {
+    private static final int FAILURES = 3;
+    private static final double LEFT_OUT = 5, LIST_PAUSE = 0.5;
+    private static final double MOVE_EVERY = 0.1;
+    /** The ideal's bound: from here on a server's messages come late. */
+    private static final double FULL = 0.9;
+
+    private final String policy;
+    private final Settings settings;
+    private final Host host;
+    private final RandomGenerator random;
+    /** What only the ideal looks at: a server's true load over its room, without end where it does not answer. */
+    private final ToDoubleFunction<String> truth;
+    private final Map<String, Listed> listed = new LinkedHashMap<>();
+    private final Map<String, Integer> own = new HashMap<>(), failures = new HashMap<>();
+    private final Map<String, Double> outUntil = new HashMap<>();
+    private final Map<String, List<Plain>> standing = new HashMap<>();
+    private int turn;
+
+    PlainBrain(String policy, Settings settings, Host host, RandomGenerator random, ToDoubleFunction<String> truth) {
+        this.policy = policy;
+        this.settings = settings;
+        this.host = host;
+        this.random = random;
+        this.truth = truth;
+        host.watch();
+        host.wake(MOVE_EVERY, 0);
+    }
+
+    private final class Plain implements Handle {
+        private final long id;
+        private final Settings.Profile kind;
+        private final double deadline;
+        private final Set<String> tried = new HashSet<>();
+        private String on;
+        private int setups;
+        private boolean done, moving;
+
+        private Plain(long id, Settings.Profile kind, double budget) {
+            this.id = id;
+            this.kind = kind;
+            deadline = host.now() + budget;
+        }
+
+        private void place() {
+            double left = deadline - host.now() - 2 * settings.tick;
+            String server = setups < settings.mostSetups && left > 2 * settings.tick ? pick(tried) : null;
+            if (server == null) {
+                done = true;
+                host.decline(id, settings.longestRetryAfter * (0.5 + 0.5 * random.nextDouble()));
+                return;
+            }
+            setups++;
+            tried.add(server);
+            on = server;
+            own.merge(server, 1, Integer::sum);
+            host.setup(id, server, Math.min(left, Math.max(left / 2, kind.setupGoal / 2)));
+        }
+
+        @Override
+        public void opened(double lag) {
+            done = true;
+            failures.remove(on);
+            standing.computeIfAbsent(on, k -> new ArrayList<>()).add(this);
+        }
+
+        @Override
+        public void load(double cores) {
+            // None of these policies looks at what a tunnel costs.
+        }
+
+        @Override
+        public void delay(double message) {
+            left(on);
+        }
+
+        @Override
+        public void ended(Outcome outcome, double lag, boolean last) {
+            String server = on;
+            on = null;
+            own.merge(server, -1, Integer::sum);
+            if (done) {
+                standing.getOrDefault(server, List.of()).remove(this);
+                return;
+            }
+            if (outcome != Outcome.FULL && failures.merge(server, 1, Integer::sum) >= FAILURES) {
+                left(server);
+            }
+            done = last;
+            if (done) {
+                return;
+            }
+            boolean harmless = outcome.provesNotRun || kind.kind == Settings.Kind.REPEATABLE;
+            if (harmless) {
+                place();
+            } else {
+                done = true;
+                host.closeWithError(id);
+            }
+        }
+
+        @Override
+        public void withdrawn() {
+            done = true;
+        }
+    }
+
+    private void left(String server) {
+        outUntil.put(server, host.now() + LEFT_OUT);
+        failures.remove(server);
+    }
+
+    private String pick(Set<String> not) {
+        List<String> may = new ArrayList<>();
+        for (Listed l : listed.values()) {
+            if (l.state() == Listed.State.RUNNING && !not.contains(l.ep())
+                    && outUntil.getOrDefault(l.ep(), 0.0) <= host.now()) {
+                may.add(l.ep());
+            }
+        }
+        if (may.isEmpty()) {
+            return null;
+        }
+        return switch (policy) {
+            case "random" -> may.get(random.nextInt(may.size()));
+            case "round-robin" -> may.get(turn++ % may.size());
+            case "least-own" -> least(may, s -> own.getOrDefault(s, 0));
+            case "two-choices" -> {
+                String a = may.get(random.nextInt(may.size()));
+                String b = may.get(random.nextInt(may.size()));
+                yield own.getOrDefault(a, 0) <= own.getOrDefault(b, 0) ? a : b;
+            }
+            default -> {
+                String best = least(may, truth);
+                yield truth.applyAsDouble(best) < FULL ? best : null;
+            }
+        };
+    }
+
+    private String least(List<String> of, ToDoubleFunction<String> by) {
+        String best = null;
+        double low = Double.POSITIVE_INFINITY;
+        int ties = 0;
+        for (String s : of) {
+            double is = by.applyAsDouble(s);
+            if (best == null || is < low) {
+                low = is;
+                best = s;
+                ties = 1;
+            } else if (is == low && random.nextInt(++ties) == 0) {
+                best = s;
+            }
+        }
+        return best;
+    }
+
+    @Override
+    public Handle take(long id, int profile, int customer, String group, String key, double budget) {
+        Plain tunnel = new Plain(id, settings.profiles.get(profile), budget);
+        tunnel.place();
+        return tunnel;
+    }
+
+    @Override
+    public void probed(String server, Outcome outcome, Report report) {
+        // None of these policies asks.
+    }
+
+    @Override
+    public void list(List<Listed> servers, boolean whole) {
+        if (whole) {
+            listed.clear();
+        }
+        servers.forEach(l -> listed.put(l.ep(), l));
+    }
+
+    @Override
+    public void listFailed() {
+        host.wake(LIST_PAUSE, -1);
+    }
+
+    @Override
+    public void woke(long token) {
+        if (token < 0) {
+            host.watch();
+        } else {
+            host.wake(MOVE_EVERY, 0);
+            for (Listed l : listed.values()) {
+                List<Plain> here = l.state() == Listed.State.DRAINING ? standing.getOrDefault(l.ep(), List.of()) : List.of();
+                // A twentieth a turn: all of them at once would be a crowd.
+                List<Plain> leave = here.stream().filter(p -> !p.moving).limit(here.size() / 20 + 1).toList();
+                leave.forEach(p -> {
+                    p.moving = true;
+                    host.move(p.id);
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/sock/RelayProcess.java
@@ -0,0 +1,98 @@
+package asterpulley.lab.sock;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A real relay as a process of its own, started by this run and ended by it, also when the run is broken off. It must
+ * never end a process that it did not start.
+ */
+public final class RelayProcess {
+    private static final Set<Process> OURS = ConcurrentHashMap.newKeySet();
+
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> OURS.forEach(Process::destroyForcibly)));
+    }
+
+    private final Process process;
+    public final InetSocketAddress address;
+
+    private RelayProcess(Process process, InetSocketAddress address) {
+        this.process = process;
+        this.address = address;
+    }
+
+    /** Starts one with this configuration; it listens at that address once it is ready. */
+    public static RelayProcess start(Path folder, String name, Map<String, Object> config, int memory,
+            InetSocketAddress address) throws IOException {
+        Path file = folder.resolve(name + ".json");
+        Files.writeString(file, ListStandIn.text(config));
+        int heap = Math.max(12, Math.min(2048, memory - memory / 8 - 44));
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xshare:auto", "-Xss512k",
+                "-Xmx" + heap + "m", "-XX:MaxDirectMemorySize=" + Math.max(8, memory / 16) + "m",
+                "-XX:MaxMetaspaceSize=32m", "-XX:ReservedCodeCacheSize=16m", "-XX:+ExitOnOutOfMemoryError",
+                "-cp", System.getProperty("java.class.path"), "asterpulley.serve.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("LB_CONFIG", file.toString());
+        builder.environment().put("MALLOC_ARENA_MAX", "1");
+        builder.redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")));
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+        Process process = builder.start();
+        OURS.add(process);
+        return new RelayProcess(process, address);
+    }
+
+    public boolean alive() {
+        return process.isAlive();
+    }
+
+    public int status() {
+        return process.exitValue();
+    }
+
+    /** Tells it to leave in order. */
+    public void leave() {
+        process.destroy();
+    }
+
+    public void kill() {
+        process.destroyForcibly();
+        try {
+            process.waitFor(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        OURS.remove(process);
+    }
+
+    /** Resident memory in bytes, where the system tells it; else NaN. */
+    public double resident() {
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+                if (line.startsWith("VmRSS:")) {
+                    return Double.parseDouble(line.replaceAll("[^0-9]", "")) * 1024;
+                }
+            }
+        } catch (IOException e) {
+            // Not told on this system, or just ended.
+            return Double.NaN;
+        }
+        return Double.NaN;
+    }
+
+    /** Seconds of processor time so far. */
+    public double cpu() {
+        return process.info().totalCpuDuration().map(d -> d.toNanos() / 1e9).orElse(Double.NaN);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/world/Carrier.java
@@ -0,0 +1,33 @@
+package asterpulley.lab.world;
+
+/**
+ * What the world asks of whatever carries it: in virtual time or on sockets. The world calls these, and hears what came
+ * of them through {@link World}. A carrier must add no rule of its own: what servers can do and what clients count as
+ * served stands in the world.
+ */
+public interface Carrier extends Clock {
+    /** A client says its opening to a relay; the end of it comes back through the world. */
+    void open(Try t);
+
+    /** The client ends its tunnel; the answer is how many of its seconds were served. */
+    double hangUp(Try t);
+
+    /** A client whose connection breaks without its doing, as a crowd does that comes back. */
+    double breakOff(Try t);
+
+    /** A relay starts, is killed outright, or is told to leave. */
+    void startRelay(int relay);
+
+    void killRelay(int relay);
+
+    void leaveRelay(int relay);
+
+    /** A server's process ends or listens again: its connections were told already, new ones are refused or taken. */
+    void listens(Server server, boolean up);
+
+    /** The list has news; whoever watches it hears of it. */
+    void listed();
+
+    /** The list's service went down or came back. */
+    void listDown(boolean down);
+}
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/world/Figures.java
@@ -0,0 +1,101 @@
+package asterpulley.lab.world;
+
+import asterpulley.lab.plan.Plan;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Owns the figures of a run: counts, times and what happened second by second. Times are kept from when a client meant
+ * to start, so that a relay that makes clients late is not spared for it. It must never judge.
+ */
+public final class Figures {
+    private static final double[] SHARES = {50, 90, 99};
+    private static final String[] TIMES = {"setup", "answer", "gap"};
+    private static final long LONGEST = 600_000_000L;
+    /** Counts that every run gives, also where nothing was counted. */
+    public static final List<String> COUNTS = List.of("clients.count", "clients.unserved", "clients.cut_by_server",
+            "clients.cut_by_relay", "clients.left_before_answer", "tries.taken", "tries.opened", "tries.declined", "tries.errors",
+            "tries.lost_with_relay", "tries.unreached", "tries.broken", "moves", "setups", "setups.full", "setups.errors",
+            "setups.unanswered", "probes", "servers.fell");
+    private static final List<String> OTHERS = List.of("credit.share", "rules.broken", "servers.worst_factor",
+            "servers.mean_worst_factor", "setups_per_opened", "moves_per_client_min", "run.late_share", "relays.rss_mb",
+            "relays.cpu_us_per_setup", "spill.worst_share");
+    /** One row a second. */
+    public static final List<String> SERIES = List.of("standing", "opened", "declined", "errors", "moves", "cut", "setups",
+            "served_share", "worst_factor", "mean_factor", "silent_servers");
+
+    private final Map<String, Long> counts = new TreeMap<>();
+    private final Map<String, Double> values = new TreeMap<>();
+    private final Map<String, Histogram> times = new TreeMap<>();
+    private final List<double[]> rows = new ArrayList<>();
+
+    Figures() {
+        COUNTS.forEach(c -> counts.put(c, 0L));
+        for (String t : TIMES) {
+            times.put(t, new Histogram(LONGEST, 3));
+        }
+    }
+
+    /** True where some run of this plan can give that figure. */
+    public static boolean known(String figure, Plan plan) {
+        if (COUNTS.contains(figure) || OTHERS.contains(figure)) {
+            return true;
+        }
+        for (Judge.Rule rule : Judge.Rule.values()) {
+            if (figure.equals("rules." + rule.name().toLowerCase())) {
+                return true;
+            }
+        }
+        for (Plan.ProfilePlan p : plan.profiles) {
+            if (figure.equals("credit.share." + p.name)) {
+                return true;
+            }
+        }
+        for (String t : TIMES) {
+            if (figure.matches(t + "\\.(p50|p90|p99|max)_ms")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    public void count(String what) {
+        counts.merge(what, 1L, Long::sum);
+    }
+
+    public long counted(String what) {
+        return counts.getOrDefault(what, 0L);
+    }
+
+    public void set(String what, double value) {
+        values.put(what, value);
+    }
+
+    void time(String what, double seconds) {
+        times.get(what).recordValue(Math.max(0, Math.min(LONGEST, Math.round(seconds * 1e6))));
+    }
+
+    void row(double[] row) {
+        rows.add(row);
+    }
+
+    public List<double[]> rows() {
+        return rows;
+    }
+
+    /** All figures by name, in the order of the names. */
+    public Map<String, Double> all() {
+        Map<String, Double> all = new TreeMap<>(values);
+        counts.forEach((k, v) -> all.put(k, (double) v));
+        times.forEach((name, h) -> {
+            for (double share : SHARES) {
+                all.put(name + ".p" + (int) share + "_ms", h.getValueAtPercentile(share) / 1e3);
+            }
+            all.put(name + ".max_ms", h.getMaxValue() / 1e3);
+        });
+        return all;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/world/Registry.java
@@ -0,0 +1,51 @@
+package asterpulley.lab.world;
+
+import asterpulley.Listed;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Owns the list of servers as its service has it: versions, and every entry with the version that it comes from. What
+ * happens to servers reaches it late, and the world says when. It must never know the truth before it is told.
+ */
+public final class Registry {
+    /** An entry as it is listed; {@code version} is the one that last changed it. */
+    public record Entry(Server server, Listed.State state, double startedAt, long version) {
+        public Listed listed() {
+            return new Listed(server.name, server.room, server.kindIndex, server.room, state, startedAt);
+        }
+    }
+
+    private final List<Entry> entries = new ArrayList<>();
+    private long version = 1;
+    boolean down;
+    double late;
+
+    Registry(List<Server> servers) {
+        for (Server s : servers) {
+            entries.add(new Entry(s, Listed.State.RUNNING, s.startedAt, version));
+        }
+    }
+
+    public long version() {
+        return version;
+    }
+
+    public boolean down() {
+        return down;
+    }
+
+    void change(Server server, Listed.State state) {
+        entries.set(server.index, new Entry(server, state, server.startedAt, ++version));
+    }
+
+    /** Every entry that stands. */
+    public List<Entry> whole() {
+        return entries.stream().filter(e -> e.state != Listed.State.GONE).toList();
+    }
+
+    /** What changed after that version. */
+    public List<Entry> since(long seen) {
+        return entries.stream().filter(e -> e.version > seen).toList();
+    }
+}
