--- a/lab/src/main/java/asterpulley/lab/sock/Pump.java
+++ b/lab/src/main/java/asterpulley/lab/sock/Pump.java
@@ -50,6 +50,8 @@
     /** So late, a beat counts as missed. */
     private static final double LATE = 0.03;
     private static final int BACKLOG = 4096;
+    /** So many connections are served before timers have their turn. */
+    private static final int IN_A_ROW = 64;
 
     private final Selector selector;
     private final PriorityQueue<Due> due = new PriorityQueue<>();
@@ -111,16 +113,24 @@
             } else {
                 selector.selectNow();
             }
+            int served = 0;
             for (SelectionKey key : selector.selectedKeys()) {
                 if (key.isValid()) {
                     serve(key);
                 }
+                if (++served % IN_A_ROW == 0) {
+                    timers();
+                }
             }
             selector.selectedKeys().clear();
-            double now = now();
-            while (!over && !due.isEmpty() && due.peek().at <= now) {
-                due.poll().what.run();
-            }
+            timers();
+        }
+    }
+
+    private void timers() {
+        double now = now();
+        while (!over && !due.isEmpty() && due.peek().at <= now) {
+            due.poll().what.run();
         }
     }
 
--- a/lab/src/main/java/asterpulley/lab/world/World.java
+++ b/lab/src/main/java/asterpulley/lab/world/World.java
@@ -21,6 +21,8 @@
     private static final double REBOOT = 3;
     /** How soon a client comes again that was moved, or cut off. */
     private static final double AFTER_MOVE = 0.2, AFTER_CUT = 0.8, AFTER_REFUSED = 0.25;
+    /** A crowd loses its connections over this time: all in one instant would only hold up the run itself. */
+    private static final double LOSE_OVER = 0.3;
     /** A client's own pause before a further try, doubled each time up to a limit. */
     private static final double PAUSE = 0.2, LONGEST_PAUSE = 3;
 
@@ -395,15 +397,25 @@
         wantedBy[c.born.profile()] += credit;
     }
 
-    /** A part of the clients loses its connections, and all of them come back within a time. */
+    /** A part of the clients loses its connections, a few at a time but soon all, and each comes back within a time. */
     void reconnect(double share, double within) {
-        for (Client c : List.copyOf(clients)) {
+        List<Try> lose = new ArrayList<>();
+        for (Client c : clients) {
             Try t = c.now;
             if (t != null && !t.over && t.answer == Try.Answer.OPENED && c.random.nextDouble() < share) {
-                fell(t, carrier.breakOff(t));
-                again(t, within);
+                lose.add(t);
             }
         }
+        double over = Math.min(LOSE_OVER, within / 2);
+        for (int i = 0; i < lose.size(); i++) {
+            Try t = lose.get(i);
+            carrier.after(over * i / lose.size(), () -> {
+                if (!t.over) {
+                    fell(t, carrier.breakOff(t));
+                    again(t, within);
+                }
+            });
+        }
     }
 
     /** The run is over: what still stands counts up to now, and nothing is asked of anybody any more. */
