Routes: health of a pool and a limit on spill, asked by the module through its front

Need: if a machine room goes dark, crossing is only a fee: nothing bounds what spills into the other room.

Change: module routes, without I/O or clock: a pool is dark when most of its servers are silent for a while, and back after a calm that doubles each time it proves false; guests keep to a stated part of a pool's room and to a rate, a relay's part each. The module asks its front whether a tunnel may go to a server; the platform's relay answers yes, as before.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -407,7 +407,7 @@
             // The chance that no sibling holds the group at the server of this rank in the zone.
             double alone = Math.min(1, strangers + 0.35 * rank);
             double f = holds ? 0 : GROUP_PULL * GROUP_COST * alone / capacity(s);
-            if (f > FULL || isFull(s) || barred.get(s) || !lawful(tun, s)) {
+            if (f > FULL || isFull(s) || barred.get(s) || !lawful(tun, s) || !front.may(tun, ep[s])) {
                 continue;
             }
             f += crowd(s);
--- a/core/src/main/java/asterpulley/Front.java
+++ b/core/src/main/java/asterpulley/Front.java
@@ -29,6 +29,11 @@
     /** Calls {@link Balance#woke} after so many seconds. */
     void wake(double after, long token);
 
+    /** True where this tunnel may go to this server now: what narrows the choice, such as routes, is asked here. */
+    default boolean may(Balance.Tunnel tun, String ep) {
+        return true;
+    }
+
     /** One line for the operators. */
     void log(String line);
 }
--- a/lab/src/main/java/asterpulley/lab/model/Host.java
+++ b/lab/src/main/java/asterpulley/lab/model/Host.java
@@ -12,6 +12,9 @@
 
     void move(long id);
 
+    /** True where a tunnel of this relay may go to that server now. */
+    boolean may(String server);
+
     void probe(String server);
 
     void watch();
--- a/lab/src/main/java/asterpulley/lab/model/ModuleBrain.java
+++ b/lab/src/main/java/asterpulley/lab/model/ModuleBrain.java
@@ -39,6 +39,11 @@
                 host.move(tun.id);
             }
 
+            @Override
+            public boolean may(Balance.Tunnel tun, String ep) {
+                return host.may(ep);
+            }
+
             @Override
             public void probe(String ep) {
                 host.probe(ep);
--- a/lab/src/main/java/asterpulley/lab/model/RelayHost.java
+++ b/lab/src/main/java/asterpulley/lab/model/RelayHost.java
@@ -9,6 +9,7 @@
 import asterpulley.lab.world.Setup;
 import asterpulley.lab.world.Try;
 import asterpulley.lab.world.World;
+import asterpulley.routes.Routes;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -54,6 +55,8 @@
     private final Map<String, Server> byName;
     private final Map<Long, Passage> passages = new LinkedHashMap<>();
     private final Map<String, Boolean> asking = new HashMap<>();
+    /** Null where the plan states no spill: then nothing narrows the choice. */
+    private final Routes routes;
     private Brain brain;
     private boolean dead, watching;
     private long version, ids;
@@ -65,6 +68,9 @@
         this.world = world;
         this.plan = world.plan;
         this.byName = byName;
+        routes = plan.spill == null ? null : new Routes(plan.rooms.size(), world.roomOfRelay(number),
+                Math.max(1, world.relays() - plan.relays),
+                plan.spill, plan.poolBounds, line.now(), l -> { });
     }
 
     void start(Brain decisions) {
@@ -72,10 +78,39 @@
         List<Registry.Entry> known = world.registry.whole();
         version = world.registry.version();
         world.told(number, known);
+        route(known);
         brain.list(listed(known), true);
         line.after(SWEEP, this::sweep);
     }
 
+    private void route(List<Registry.Entry> entries) {
+        for (Registry.Entry e : entries) {
+            if (routes != null) {
+                routes.listed(e.server().index, e.server().room, e.state() != Listed.State.GONE, line.now());
+            }
+        }
+    }
+
+    @Override
+    public boolean may(String name) {
+        return routes == null || routes.may(byName.get(name).index, line.now());
+    }
+
+    /** What an end tells of a server: it answered, or it said nothing. */
+    private void heard(Server s, Outcome outcome) {
+        if (routes != null && outcome != Outcome.CANCELLED) {
+            routes.heard(s.index, outcome != Outcome.TIMED_OUT && outcome != Outcome.NO_CONNECTION, line.now());
+        }
+    }
+
+    private void counts(Passage p, boolean comes) {
+        if (routes != null && comes) {
+            routes.comes(p.server.index, line.now());
+        } else if (routes != null) {
+            routes.leaves(p.server.index);
+        }
+    }
+
     private static List<Listed> listed(List<Registry.Entry> entries) {
         List<Listed> listed = new ArrayList<>(entries.size());
         for (Registry.Entry e : entries) {
@@ -139,6 +174,7 @@
         p.sound = world.sound(p.setup);
         p.over = true;
         passages.remove(p.id);
+        counts(p, false);
         world.gone(p.setup);
     }
 
@@ -164,6 +200,7 @@
         p.server = byName.get(name);
         p.setup = null;
         p.sentAt = line.now();
+        counts(p, true);
         send(p, n, p.server, timeout);
     }
 
@@ -226,6 +263,7 @@
         }
         p.out = false;
         p.standing = p.answered = true;
+        heard(p.server, Outcome.OK);
         p.handle.opened(line.now() - p.sentAt);
         p.handle.load(cores);
         toClient(() -> world.opened(p.of));
@@ -240,6 +278,7 @@
         } else if (p.standing && !p.over) {
             p.over = true;
             passages.remove(p.id);
+            counts(p, false);
             p.handle.ended(Outcome.RESET, 0, true);
             toClient(() -> world.cut(p.of, p.sound));
         }
@@ -253,6 +292,8 @@
 
     private void ends(Passage p, Outcome outcome, boolean last) {
         p.out = false;
+        counts(p, false);
+        heard(p.server, outcome);
         if (p.setup != null) {
             world.gone(p.setup);
         }
@@ -310,6 +351,7 @@
             line.after(report.isPresent() || refused ? way : Math.max(0, patience - way), () -> {
                 asking.remove(name);
                 if (!dead) {
+                    heard(s, report.isPresent() ? Outcome.OK : Outcome.TIMED_OUT);
                     brain.probed(name, report.isPresent() ? Outcome.OK : refused ? Outcome.NO_CONNECTION
                             : Outcome.TIMED_OUT, report.orElseGet(Report::new));
                 }
@@ -351,6 +393,7 @@
         version = world.registry.version();
         if (!news.isEmpty()) {
             world.told(number, news);
+            route(news);
             brain.list(listed(news), false);
         }
     }
@@ -369,6 +412,9 @@
         if (dead) {
             return;
         }
+        if (routes != null) {
+            routes.tick(line.now());
+        }
         if (world.anySilent()) {
             for (Passage p : List.copyOf(passages.values())) {
                 if (!p.standing || p.over) {
--- a/lab/src/main/java/asterpulley/lab/plan/Plan.java
+++ b/lab/src/main/java/asterpulley/lab/plan/Plan.java
@@ -1,6 +1,8 @@
 package asterpulley.lab.plan;
 
 import asterpulley.Settings;
+import asterpulley.routes.PoolHealth;
+import asterpulley.routes.Routes;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -79,6 +81,9 @@
     public double crossingFee = 0.02, probeFee;
     public boolean reportsHeld;
     public double storeRate;
+    /** What may spill from room to room; null: no limit, only the crossing fee. */
+    public Routes.Limits spill;
+    public PoolHealth.Bounds poolBounds;
 
     /** What a relay of this world is told, as the module reads it. */
     public Settings settings(int room) {
--- a/lab/src/main/java/asterpulley/lab/plan/PlanReader.java
+++ b/lab/src/main/java/asterpulley/lab/plan/PlanReader.java
@@ -4,6 +4,8 @@
 import asterpulley.files.Part;
 import asterpulley.files.Sheet;
 import asterpulley.lab.world.Figures;
+import asterpulley.routes.PoolHealth;
+import asterpulley.routes.Routes;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Matcher;
@@ -51,6 +53,16 @@
         plan.crossingFee = fees.number("crossing", plan.crossingFee, 0, 1);
         plan.probeFee = fees.number("probe", plan.probeFee, 0, 1);
         plan.storeRate = root.part("store").number("rate_per_s", 0, 0, MANY);
+        if (root.has("spill")) {
+            Part spill = root.part("spill");
+            plan.spill = new Routes.Limits(spill.number("share", 0.2, 0, 1), spill.number("rate_per_s", 0, 0, MANY),
+                    spill.number("holds", plan.servers.get(0).holds, 1, MANY));
+        }
+        Part pools = root.part("pools");
+        double enter = pools.number("dark_from", 0.7, 0.05, 1);
+        double calm = pools.number("calm_s", 4, 0.1, LONG);
+        plan.poolBounds = new PoolHealth.Bounds(enter, pools.number("back_below", enter / 2, 0, enter - 0.01),
+                pools.number("confirm_s", 0.5, 0, 60), calm, pools.number("longest_calm_s", 8 * calm, calm, LONG));
         for (Part p : root.parts("fault")) {
             plan.faults.add(fault(p, plan));
         }
--- a/lab/src/main/java/asterpulley/lab/world/World.java
+++ b/lab/src/main/java/asterpulley/lab/world/World.java
@@ -51,6 +51,7 @@
     private int standing, present;
     private final long[] lastCounts = new long[5];
     private long lastCut;
+    private double worstSpill;
 
     public World(Plan plan) {
         this.plan = plan;
@@ -442,6 +443,7 @@
         for (Judge.Rule rule : Judge.Rule.values()) {
             figures.set("rules." + rule.name().toLowerCase(), judge.broken(rule));
         }
+        figures.set("spill.worst_share", worstSpill);
         figures.set("rules.broken", judge.broken());
         figures.set("servers.worst_factor", servers.stream().mapToDouble(s -> s.worst).max().orElse(0));
         figures.set("servers.mean_worst_factor", servers.stream().mapToDouble(s -> s.worst).average().orElse(0));
@@ -702,6 +704,21 @@
         carrier.after(TICK, this::tick);
     }
 
+    /** How much of a room's capacity clients of others take, in the fullest of them. */
+    private void spill() {
+        double[] guests = new double[plan.rooms.size()];
+        double[] holds = new double[plan.rooms.size()];
+        for (Server s : servers) {
+            holds[s.room] += s.down ? 0 : s.kind.holds;
+            for (Setup setup : s.held) {
+                guests[s.room] += setup.of.client.born.room() == s.room ? 0 : setup.of.client.born.load();
+            }
+        }
+        for (int r = 0; r < guests.length; r++) {
+            worstSpill = Math.max(worstSpill, holds[r] > 0 ? guests[r] / holds[r] : 0);
+        }
+    }
+
     private void second() {
         double now = carrier.now();
         String[] names = {"tries.opened", "tries.declined", "tries.errors", "moves", "setups"};
@@ -723,6 +740,7 @@
             row[10] += s.silent || s.down ? 1 : 0;
             got += s.message(now) <= plan.messageGoal ? s.standing() : 0;
         }
+        spill();
         row[7] = present > 0 ? Math.min(1, got / present) : 1;
         figures.row(row);
         carrier.after(1, this::second);
--- /dev/null
+++ b/routes/src/main/java/asterpulley/routes/Routes.java
@@ -0,0 +1,117 @@
+package asterpulley.routes;
+
+import java.util.Arrays;
+import java.util.function.Consumer;
+
+/**
+ * Owns the pools of one relay's fleet: which server is of which, how each is, and which of them a tunnel may go to. It
+ * narrows what the decision module may choose from and chooses nothing itself: at home always, elsewhere within the
+ * spill limit, and nowhere that is dark unless home is all there is. It must do no I/O and keep no clock.
+ */
+public final class Routes {
+    /** What an operator states: a part of a pool's room for guests, new guests a second, mean loads a server holds. */
+    public record Limits(double share, double rate, double holds) {
+    }
+
+    private final int home, guestRelays;
+    private final Limits limits;
+    private final PoolHealth[] health;
+    private final SpillLimit[] spill;
+    private final Consumer<String> log;
+    private int[] poolOf = {};
+    private boolean[] silent = {}, listed = {};
+
+    /** {@code home}: this relay's own pool; {@code guestRelays}: how many share a pool's limits, this one counted: those at home elsewhere. */
+    public Routes(int pools, int home, int guestRelays, Limits limits, PoolHealth.Bounds bounds, double now,
+            Consumer<String> log) {
+        this.home = home;
+        this.guestRelays = guestRelays;
+        this.limits = limits;
+        this.log = log;
+        health = new PoolHealth[pools];
+        spill = new SpillLimit[pools];
+        for (int p = 0; p < pools; p++) {
+            health[p] = new PoolHealth(bounds);
+            spill[p] = new SpillLimit(0, limits.rate / guestRelays, now);
+        }
+    }
+
+    /** A server, by dense index, is listed in a pool or no longer. */
+    public void listed(int server, int pool, boolean there, double now) {
+        if (server >= poolOf.length) {
+            int m = Math.max(server + 1, 2 * poolOf.length);
+            poolOf = Arrays.copyOf(poolOf, m);
+            silent = Arrays.copyOf(silent, m);
+            listed = Arrays.copyOf(listed, m);
+        }
+        poolOf[server] = pool;
+        listed[server] = there;
+        int servers = 0;
+        for (int s = 0; s < listed.length; s++) {
+            servers += listed[s] && poolOf[s] == pool ? 1 : 0;
+        }
+        spill[pool].limits(limits.share * limits.holds * servers / guestRelays, limits.rate / guestRelays);
+        judge(pool, now);
+    }
+
+    /** A server answered, or left a question or a setup unanswered. */
+    public void heard(int server, boolean answered, double now) {
+        silent[server] = !answered;
+        judge(poolOf[server], now);
+    }
+
+    private void judge(int pool, double now) {
+        int all = 0;
+        int quiet = 0;
+        for (int s = 0; s < listed.length; s++) {
+            if (listed[s] && poolOf[s] == pool) {
+                all++;
+                quiet += silent[s] ? 1 : 0;
+            }
+        }
+        // A pool that nobody lists is as good as dark.
+        double part = all == 0 ? 1 : (double) quiet / all;
+        PoolHealth.State was = health[pool].state();
+        if (health[pool].seen(part, now)) {
+            log.accept("pool " + pool + " " + was.name().toLowerCase() + " to " + health[pool].state().name().toLowerCase()
+                    + ", silent " + quiet + " of " + all + ", guests " + spill[pool].guests());
+        }
+    }
+
+    /** Time passes: what is suspected is confirmed, what stays calm is sound. */
+    public void tick(double now) {
+        for (int p = 0; p < health.length; p++) {
+            judge(p, now);
+        }
+    }
+
+    /** True where a tunnel of this relay may go to that server now. */
+    public boolean may(int server, double now) {
+        int pool = poolOf[server];
+        if (pool == home) {
+            return true;
+        }
+        return !health[pool].dark() && spill[pool].may(now);
+    }
+
+    /** A setup goes out to that server, or has ended, or what it opened has. */
+    public void comes(int server, double now) {
+        if (poolOf[server] != home) {
+            spill[poolOf[server]].comes(now);
+        }
+    }
+
+    public void leaves(int server) {
+        if (poolOf[server] != home) {
+            spill[poolOf[server]].leaves();
+        }
+    }
+
+    public PoolHealth.State state(int pool) {
+        return health[pool].state();
+    }
+
+    public int guests(int pool) {
+        return spill[pool].guests();
+    }
+}
