The way back after a lost room: paced, the costliest first, a minimum stay

Need: a returning room is cold, and its clients stay where they spilled until they end: half a minute after the return, 109 of 159 mean loads of guests were still away.

Change: routes.WayBack lets guests go home at a stated part of their room a second, none while home is dark or suspected, none before it has stayed, spared profiles never; [return] in experiments. Names by place are read once, in decode, for lines and the list; files of the command line are opened in one place.

--- a/cli/src/main/java/asterpulley/cli/CheckCommand.java
+++ b/cli/src/main/java/asterpulley/cli/CheckCommand.java
@@ -1,9 +1,7 @@
 package asterpulley.cli;
 
 import asterpulley.files.Sheet;
-import asterpulley.lab.plan.PlanReader;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -27,16 +25,12 @@
 
     @Override
     public Integer call() throws IOException {
-        if (!Files.isReadable(file)) {
-            System.err.println("asterpulley check: " + file + " cannot be read");
-            return Main.BAD_INPUT;
-        }
-        Sheet sheet = Sheet.read(file);
+        Sheet sheet = Main.sheet(file);
         boolean relay = kind == null ? sheet.root().has("listen") : kind == Kind.RELAY;
         if (relay) {
             RelayFile.read(sheet);
         } else {
-            PlanReader.read(sheet, file.getFileName().toString().replace(".toml", ""));
+            Main.plan(sheet, file);
         }
         List<String> problems = sheet.problems();
         problems.forEach(System.err::println);
--- a/cli/src/main/java/asterpulley/cli/LabCommand.java
+++ b/cli/src/main/java/asterpulley/cli/LabCommand.java
@@ -75,12 +75,8 @@
 
         @Override
         public Integer call() throws IOException {
-            if (!Files.isReadable(file)) {
-                System.err.println("asterpulley lab run: " + file + " cannot be read");
-                return Main.BAD_INPUT;
-            }
-            Sheet sheet = Sheet.read(file);
-            Plan plan = PlanReader.read(sheet, file.getFileName().toString().replace(".toml", ""));
+            Sheet sheet = Main.sheet(file);
+            Plan plan = Main.plan(sheet, file);
             if (!sheet.problems().isEmpty()) {
                 sheet.problems().forEach(System.err::println);
                 return Main.BAD_INPUT;
--- a/cli/src/main/java/asterpulley/cli/Main.java
+++ b/cli/src/main/java/asterpulley/cli/Main.java
@@ -1,7 +1,12 @@
 package asterpulley.cli;
 
 import asterpulley.drill.Drill;
+import asterpulley.files.Sheet;
+import asterpulley.lab.plan.Plan;
+import asterpulley.lab.plan.PlanReader;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.AutoComplete;
 import picocli.CommandLine;
@@ -36,6 +41,19 @@
                 });
     }
 
+    /** An operator's file as it stands; a plain message where it can't be read. */
+    static Sheet sheet(Path file) throws IOException {
+        if (!Files.isReadable(file)) {
+            throw new IOException(file + " cannot be read");
+        }
+        return Sheet.read(file);
+    }
+
+    /** The name of an experiment is its file's. */
+    static Plan plan(Sheet sheet, Path file) {
+        return PlanReader.read(sheet, file.getFileName().toString().replace(".toml", ""));
+    }
+
     public static void main(String[] args) {
         System.exit(commands().execute(args));
     }
--- a/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
+++ b/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
@@ -2,6 +2,7 @@
 
 import asterpulley.Report;
 import asterpulley.Settings;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -43,6 +44,18 @@
         return s;
     }
 
+    /** The names of a list in the settings, by their places; entries are names, or have one. */
+    public static Map<String, Integer> places(Map<String, Object> settings, String list) {
+        Map<String, Integer> places = new HashMap<>();
+        if (settings.get(list) instanceof List<?> names) {
+            for (Object o : names) {
+                Object name = o instanceof Map<?, ?> named ? named.get("name") : o;
+                places.put(String.valueOf(name), places.size());
+            }
+        }
+        return places;
+    }
+
     private static Settings.Profile profile(Map<String, Object> in) {
         Settings.Profile p = new Settings.Profile();
         p.setupGoal = Json.number(in, "setupGoalMs", 1000 * p.setupGoal) / 1000;
--- a/lab/src/main/java/asterpulley/lab/model/RelayHost.java
+++ b/lab/src/main/java/asterpulley/lab/model/RelayHost.java
@@ -10,6 +10,7 @@
 import asterpulley.lab.world.Try;
 import asterpulley.lab.world.World;
 import asterpulley.routes.Routes;
+import asterpulley.routes.WayBack;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -38,7 +39,7 @@
         private Brain.Handle handle;
         private int setups, told;
         private boolean out, standing, answered, over;
-        private double sentAt, silentSince = Double.NaN, sound;
+        private double sentAt, openedAt, silentSince = Double.NaN, sound;
         private Setup setup;
         private Server server;
 
@@ -57,6 +58,7 @@
     private final Map<String, Boolean> asking = new HashMap<>();
     /** Null where the plan states no spill: then nothing narrows the choice. */
     private final Routes routes;
+    private final WayBack wayBack;
     private Brain brain;
     private boolean dead, watching;
     private long version, ids;
@@ -71,6 +73,7 @@
         routes = plan.spill == null ? null : new Routes(plan.rooms.size(), world.roomOfRelay(number),
                 Math.max(1, world.relays() - plan.relays),
                 plan.spill, plan.poolBounds, line.now(), l -> { });
+        wayBack = plan.wayBack == null || routes == null ? null : new WayBack(plan.wayBack, line.now());
     }
 
     void start(Brain decisions) {
@@ -263,6 +266,7 @@
         }
         p.out = false;
         p.standing = p.answered = true;
+        p.openedAt = line.now();
         heard(p.server, Outcome.OK);
         p.handle.opened(line.now() - p.sentAt);
         p.handle.load(cores);
@@ -414,6 +418,7 @@
         }
         if (routes != null) {
             routes.tick(line.now());
+            goHome();
         }
         if (world.anySilent()) {
             for (Passage p : List.copyOf(passages.values())) {
@@ -430,6 +435,23 @@
         line.after(SWEEP, this::sweep);
     }
 
+    /** Guests go home as fast as their room bears it. */
+    private void goHome() {
+        int home = world.roomOfRelay(number);
+        if (wayBack == null) {
+            return;
+        }
+        List<WayBack.Guest> guests = new ArrayList<>();
+        for (Passage p : passages.values()) {
+            if (p.standing && !p.over && p.server.room != home) {
+                Plan.ProfilePlan profile = plan.profiles.get(p.of.client.born.profile());
+                guests.add(new WayBack.Guest(p.id, p.of.client.born.load(), profile.credit, p.openedAt,
+                        plan.spared.contains(profile.name)));
+            }
+        }
+        wayBack.leave(guests, routes.state(home), routes.roomAtHome() / plan.relays, line.now()).forEach(this::move);
+    }
+
     private void heedSilence(Passage p) {
         if (Double.isNaN(p.silentSince)) {
             // Its client says a line every so often: the next one is the first that nothing answers.
--- a/lab/src/main/java/asterpulley/lab/plan/Plan.java
+++ b/lab/src/main/java/asterpulley/lab/plan/Plan.java
@@ -3,6 +3,7 @@
 import asterpulley.Settings;
 import asterpulley.routes.PoolHealth;
 import asterpulley.routes.Routes;
+import asterpulley.routes.WayBack;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -84,6 +85,9 @@
     /** What may spill from room to room; null: no limit, only the crossing fee. */
     public Routes.Limits spill;
     public PoolHealth.Bounds poolBounds;
+    /** How guests go home; null: they stay where they are. */
+    public WayBack.Pace wayBack;
+    public final List<String> spared = new ArrayList<>();
 
     /** What a relay of this world is told, as the module reads it. */
     public Settings settings(int room) {
--- a/lab/src/main/java/asterpulley/lab/plan/PlanReader.java
+++ b/lab/src/main/java/asterpulley/lab/plan/PlanReader.java
@@ -6,6 +6,7 @@
 import asterpulley.lab.world.Figures;
 import asterpulley.routes.PoolHealth;
 import asterpulley.routes.Routes;
+import asterpulley.routes.WayBack;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Matcher;
@@ -58,6 +59,19 @@
             plan.spill = new Routes.Limits(spill.number("share", 0.2, 0, 1), spill.number("rate_per_s", 0, 0, MANY),
                     spill.number("holds", plan.servers.get(0).holds, 1, MANY));
         }
+        if (root.has("return")) {
+            Part back = root.part("return");
+            plan.wayBack = new WayBack.Pace(back.number("share_per_s", 0.02, 0, 1), back.number("stay_s", 5, 0, LONG));
+            for (String spared : back.texts("spare")) {
+                if (plan.profiles.stream().noneMatch(q -> q.name.equals(spared))) {
+                    back.wrong("spare", "'" + spared + "' names no profile", null);
+                }
+                plan.spared.add(spared);
+            }
+            if (plan.spill == null) {
+                back.wrong("share_per_s", "needs [spill]: without it nobody is told from a guest", null);
+            }
+        }
         Part pools = root.part("pools");
         double enter = pools.number("dark_from", 0.7, 0.05, 1);
         double calm = pools.number("calm_s", 4, 0.1, LONG);
--- a/lab/src/main/java/asterpulley/lab/world/Figures.java
+++ b/lab/src/main/java/asterpulley/lab/world/Figures.java
@@ -25,7 +25,7 @@
             "relays.cpu_us_per_setup", "spill.worst_share");
     /** One row a second. */
     public static final List<String> SERIES = List.of("standing", "opened", "declined", "errors", "moves", "cut", "setups",
-            "served_share", "worst_factor", "mean_factor", "silent_servers");
+            "served_share", "worst_factor", "mean_factor", "silent_servers", "guests_load");
 
     private final Map<String, Long> counts = new TreeMap<>();
     private final Map<String, Double> values = new TreeMap<>();
--- a/lab/src/main/java/asterpulley/lab/world/World.java
+++ b/lab/src/main/java/asterpulley/lab/world/World.java
@@ -51,7 +51,7 @@
     private int standing, present;
     private final long[] lastCounts = new long[5];
     private long lastCut;
-    private double worstSpill;
+    private double worstSpill, guestsNow;
 
     public World(Plan plan) {
         this.plan = plan;
@@ -714,6 +714,10 @@
                 guests[s.room] += setup.of.client.born.room() == s.room ? 0 : setup.of.client.born.load();
             }
         }
+        guestsNow = 0;
+        for (double g : guests) {
+            guestsNow += g;
+        }
         for (int r = 0; r < guests.length; r++) {
             worstSpill = Math.max(worstSpill, holds[r] > 0 ? guests[r] / holds[r] : 0);
         }
@@ -741,6 +745,7 @@
             got += s.message(now) <= plan.messageGoal ? s.standing() : 0;
         }
         spill();
+        row[11] = guestsNow;
         row[7] = present > 0 ? Math.min(1, got / present) : 1;
         figures.row(row);
         carrier.after(1, this::second);
--- a/relay/src/main/java/asterpulley/line/Words.java
+++ b/relay/src/main/java/asterpulley/line/Words.java
@@ -8,7 +8,6 @@
 import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
@@ -58,14 +57,11 @@
         customers = places(settings, "tenants");
     }
 
+    /** Names as the bytes of a line have them. */
     private static Map<String, Integer> places(Map<String, Object> settings, String list) {
         Map<String, Integer> places = new HashMap<>();
-        if (settings.get(list) instanceof List<?> names) {
-            for (Object o : names) {
-                Object name = o instanceof Map<?, ?> named ? named.get("name") : o;
-                places.put(new String(String.valueOf(name).getBytes(StandardCharsets.UTF_8), BYTES), places.size());
-            }
-        }
+        SettingsDecoder.places(settings, list).forEach(
+                (name, place) -> places.put(new String(name.getBytes(StandardCharsets.UTF_8), BYTES), place));
         return places;
     }
 
--- a/relay/src/main/java/asterpulley/list/Fleet.java
+++ b/relay/src/main/java/asterpulley/list/Fleet.java
@@ -2,6 +2,7 @@
 
 import asterpulley.Listed;
 import asterpulley.decode.Json;
+import asterpulley.decode.SettingsDecoder;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,19 +19,8 @@
         private final Map<String, Integer> models;
 
         public Names(Map<String, Object> settings) {
-            zones = places(settings, "zones");
-            models = places(settings, "models");
-        }
-
-        private static Map<String, Integer> places(Map<String, Object> settings, String list) {
-            Map<String, Integer> places = new HashMap<>();
-            if (settings.get(list) instanceof List<?> names) {
-                for (Object o : names) {
-                    Object name = o instanceof Map<?, ?> named ? named.get("name") : o;
-                    places.put(String.valueOf(name), places.size());
-                }
-            }
-            return places;
+            zones = SettingsDecoder.places(settings, "zones");
+            models = SettingsDecoder.places(settings, "models");
         }
     }
 
--- a/routes/src/main/java/asterpulley/routes/Routes.java
+++ b/routes/src/main/java/asterpulley/routes/Routes.java
@@ -107,6 +107,15 @@
         }
     }
 
+    /** The room of this relay's home, in mean loads, as far as its servers are listed. */
+    public double roomAtHome() {
+        int servers = 0;
+        for (int s = 0; s < listed.length; s++) {
+            servers += listed[s] && poolOf[s] == home ? 1 : 0;
+        }
+        return servers * limits.holds;
+    }
+
     public PoolHealth.State state(int pool) {
         return health[pool].state();
     }
