One agenda for both clocks, pool counts kept instead of walked, dead code gone

Change: lab.world.Agenda serves both clocks; Routes keeps servers and silent ones by pool; two wrappers, a doubled check and the dead catch are gone. Behaviour, bounds and tests as they were.

--- a/cli/src/main/java/asterpulley/cli/ServeCommand.java
+++ b/cli/src/main/java/asterpulley/cli/ServeCommand.java
@@ -4,7 +4,6 @@
 import asterpulley.files.Sheet;
 import asterpulley.serve.Serve;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -42,15 +41,11 @@
         if (!Files.isReadable(file)) {
             throw new Json.Malformed(file + " cannot be read");
         }
-        try {
-            Sheet sheet = Sheet.read(file);
-            Map<String, Object> told = RelayFile.read(sheet);
-            if (!sheet.problems().isEmpty()) {
-                throw new Json.Malformed(String.join("\n", sheet.problems()));
-            }
-            return told;
-        } catch (UncheckedIOException e) {
-            throw e.getCause();
+        Sheet sheet = Sheet.read(file);
+        Map<String, Object> told = RelayFile.read(sheet);
+        if (!sheet.problems().isEmpty()) {
+            throw new Json.Malformed(String.join("\n", sheet.problems()));
         }
+        return told;
     }
 }
--- a/lab/src/main/java/asterpulley/lab/model/RelayHost.java
+++ b/lab/src/main/java/asterpulley/lab/model/RelayHost.java
@@ -210,12 +210,12 @@
     private void send(Passage p, int n, Server s, double timeout) {
         int here = world.roomOfRelay(number);
         double way = world.delay(here, s.room);
-        boolean connects = !unreachable(s) && world.passes(here, s.room);
+        boolean connects = !s.gone() && world.passes(here, s.room);
         line.after(way, () -> {
             if (dead || !p.out || p.setups != n || !connects) {
                 return;
             }
-            if (down(s)) {
+            if (s.closed()) {
                 line.after(way, () -> ended(p, n, Outcome.NO_CONNECTION));
                 return;
             }
@@ -225,14 +225,6 @@
         line.after(patience, () -> ended(p, n, connects ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION));
     }
 
-    private static boolean unreachable(Server s) {
-        return s.gone();
-    }
-
-    private static boolean down(Server s) {
-        return s.closed();
-    }
-
     private Setup.Reply reply(Passage p, int n, double way) {
         return new Setup.Reply() {
             @Override
@@ -350,8 +342,8 @@
         double way = world.delay(world.roomOfRelay(number), s.room);
         double patience = plan.profiles.stream().mapToDouble(q -> q.setupGoal).min().orElse(0.5);
         line.after(way, () -> {
-            Optional<Report> report = down(s) ? Optional.empty() : world.asked(number, s);
-            boolean refused = down(s);
+            Optional<Report> report = world.asked(number, s);
+            boolean refused = s.closed();
             line.after(report.isPresent() || refused ? way : Math.max(0, patience - way), () -> {
                 asking.remove(name);
                 if (!dead) {
--- a/lab/src/main/java/asterpulley/lab/report/Tables.java
+++ b/lab/src/main/java/asterpulley/lab/report/Tables.java
@@ -33,7 +33,7 @@
         }
     }
 
-    /** Several plays beside each other, each figure also as a ratio to the first. */
+    /** Several plays beside each other. */
     public static void sideBySide(List<Outcome> all, PrintStream out) {
         out.printf("%n%-22s", "");
         all.forEach(o -> out.printf("%16s", o.policy.equals(all.get(0).policy) ? o.carrier : o.policy));
--- a/lab/src/main/java/asterpulley/lab/sock/LoadTool.java
+++ b/lab/src/main/java/asterpulley/lab/sock/LoadTool.java
@@ -1,5 +1,6 @@
 package asterpulley.lab.sock;
 
+import asterpulley.lab.world.Load;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -7,7 +8,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -40,7 +40,7 @@
     private LoadTool(Order order) throws IOException {
         this.order = order;
         pump = new Pump();
-        random = RandomGeneratorFactory.of("L64X128MixRandom").create(order.seed);
+        random = Load.random(order.seed);
     }
 
     /** Drives it to the end. */
--- a/lab/src/main/java/asterpulley/lab/sock/Pump.java
+++ b/lab/src/main/java/asterpulley/lab/sock/Pump.java
@@ -1,5 +1,6 @@
 package asterpulley.lab.sock;
 
+import asterpulley.lab.world.Agenda;
 import asterpulley.lab.world.Clock;
 import java.io.Closeable;
 import java.io.IOException;
@@ -10,7 +11,6 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.PriorityQueue;
 import java.util.function.Function;
 
 /**
@@ -19,13 +19,6 @@
  * measures nothing. It must never block.
  */
 public final class Pump implements Clock, Closeable {
-    private record Due(double at, long order, Runnable what) implements Comparable<Due> {
-        @Override
-        public int compareTo(Due other) {
-            return at != other.at ? Double.compare(at, other.at) : Long.compare(order, other.order);
-        }
-    }
-
     /** A listening socket. */
     public static final class Listening {
         private final ServerSocketChannel channel;
@@ -54,10 +47,10 @@
     private static final int IN_A_ROW = 64;
 
     private final Selector selector;
-    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private final Agenda due = new Agenda();
     private final ByteBuffer reading = ByteBuffer.allocateDirect(1 << 16);
     private long zero = System.nanoTime();
-    private long order, beats, lateBeats;
+    private long beats, lateBeats;
     private double worstLate;
     private boolean over;
 
@@ -80,7 +73,7 @@
 
     @Override
     public void after(double seconds, Runnable what) {
-        due.add(new Due(now() + Math.max(0, seconds), order++, what));
+        due.add(now() + Math.max(0, seconds), what);
     }
 
     private void beat(double meant) {
@@ -91,7 +84,7 @@
         }
         beats += 1 + Math.max(0, Math.round(late / BEAT));
         double next = Math.max(meant + BEAT, now());
-        due.add(new Due(next, order++, () -> beat(next)));
+        due.add(next, () -> beat(next));
     }
 
     /** The part of the time in which this thread was behind its own clock. */
@@ -107,7 +100,7 @@
     public void run(double end) throws IOException {
         over = false;
         while (!over && now() < end) {
-            double wait = Math.min(end, due.isEmpty() ? end : due.peek().at) - now();
+            double wait = Math.min(end, due.next()) - now();
             if (wait > 0.0005) {
                 selector.select(Math.max(1, (long) (wait * 1000)));
             } else {
@@ -129,8 +122,8 @@
 
     private void timers() {
         double now = now();
-        while (!over && !due.isEmpty() && due.peek().at <= now) {
-            due.poll().what.run();
+        while (!over && due.next() <= now) {
+            due.take().run();
         }
     }
 
--- a/routes/src/main/java/asterpulley/routes/Routes.java
+++ b/routes/src/main/java/asterpulley/routes/Routes.java
@@ -18,6 +18,8 @@
     private final PoolHealth[] health;
     private final SpillLimit[] spill;
     private final Consumer<String> log;
+    /** By pool: servers listed, and those of them that are silent. */
+    private final int[] servers, quiet;
     private int[] poolOf = {};
     private boolean[] silent = {}, listed = {};
 
@@ -28,6 +30,8 @@
         this.guestRelays = guestRelays;
         this.limits = limits;
         this.log = log;
+        servers = new int[pools];
+        quiet = new int[pools];
         health = new PoolHealth[pools];
         spill = new SpillLimit[pools];
         for (int p = 0; p < pools; p++) {
@@ -44,37 +48,37 @@
             silent = Arrays.copyOf(silent, m);
             listed = Arrays.copyOf(listed, m);
         }
+        count(server, -1);
         poolOf[server] = pool;
         listed[server] = there;
-        int servers = 0;
-        for (int s = 0; s < listed.length; s++) {
-            servers += listed[s] && poolOf[s] == pool ? 1 : 0;
-        }
-        spill[pool].limits(limits.share * limits.holds * servers / guestRelays, limits.rate / guestRelays);
+        count(server, 1);
+        spill[pool].limits(limits.share * limits.holds * servers[pool] / guestRelays, limits.rate / guestRelays);
         judge(pool, now);
     }
 
     /** A server answered, or left a question or a setup unanswered. */
     public void heard(int server, boolean answered, double now) {
+        count(server, -1);
         silent[server] = !answered;
+        count(server, 1);
         judge(poolOf[server], now);
     }
 
-    private void judge(int pool, double now) {
-        int all = 0;
-        int quiet = 0;
-        for (int s = 0; s < listed.length; s++) {
-            if (listed[s] && poolOf[s] == pool) {
-                all++;
-                quiet += silent[s] ? 1 : 0;
-            }
+    /** Adds a server to its pool's counts, or takes it off: kept, since a walk over the fleet for each answer costs. */
+    private void count(int server, int by) {
+        if (listed[server]) {
+            servers[poolOf[server]] += by;
+            quiet[poolOf[server]] += silent[server] ? by : 0;
         }
+    }
+
+    private void judge(int pool, double now) {
         // A pool that nobody lists is as good as dark.
-        double part = all == 0 ? 1 : (double) quiet / all;
+        double part = servers[pool] == 0 ? 1 : (double) quiet[pool] / servers[pool];
         PoolHealth.State was = health[pool].state();
         if (health[pool].seen(part, now)) {
             log.accept("pool " + pool + " " + was.name().toLowerCase() + " to " + health[pool].state().name().toLowerCase()
-                    + ", silent " + quiet + " of " + all + ", guests " + spill[pool].guests());
+                    + ", silent " + quiet[pool] + " of " + servers[pool] + ", guests " + spill[pool].guests());
         }
     }
 
@@ -109,11 +113,7 @@
 
     /** The room of this relay's home, in mean loads, as far as its servers are listed. */
     public double roomAtHome() {
-        int servers = 0;
-        for (int s = 0; s < listed.length; s++) {
-            servers += listed[s] && poolOf[s] == home ? 1 : 0;
-        }
-        return servers * limits.holds;
+        return servers[home] * limits.holds;
     }
 
     public PoolHealth.State state(int pool) {
