--- a/cli/src/main/java/asterpulley/cli/RelayFile.java
+++ b/cli/src/main/java/asterpulley/cli/RelayFile.java
@@ -1,6 +1,7 @@
 package asterpulley.cli;
 
 import asterpulley.files.Part;
+import asterpulley.files.PoolsFile;
 import asterpulley.files.Sheet;
 import asterpulley.net.Addresses;
 import java.util.ArrayList;
@@ -68,9 +69,23 @@
         Part fees = root.part("fees");
         settings.put("fees", map("crossZone", fees.number("crossing", 0, 0, 1), "probe", fees.number("probe", 0, 0, 1)));
         config.put("settings", settings);
+        int relays = root.whole("relays", 1, 1, 100_000);
+        Map<String, Object> routes = PoolsFile.read(root, names(zones), names(models), profileNames(settings),
+                Math.max(1, relays / zones.size()), 60);
+        if (routes != null) {
+            config.put("routes", routes);
+        }
         return config;
     }
 
+    private static List<String> names(List<Object> of) {
+        return of.stream().map(String::valueOf).toList();
+    }
+
+    private static List<String> profileNames(Map<String, Object> settings) {
+        return ((List<?>) settings.get("profiles")).stream().map(p -> String.valueOf(((Map<?, ?>) p).get("name"))).toList();
+    }
+
     private static List<Object> servers(Part root, List<Object> zones, List<Object> models) {
         List<Object> hosts = new ArrayList<>();
         Set<String> names = new HashSet<>();
--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -301,7 +301,12 @@
         }
         int s = barred ? -1 : pick(tun);
         if (s < 0) {
-            giveUp(tun);
+            // Routes open by turns: what is given up has had them all.
+            if (!barred && front.widen(tun)) {
+                place(tun);
+            } else {
+                giveUp(tun);
+            }
             return;
         }
         // Leaves room for a further setup within the goal, but never less than setups take these days.
--- a/core/src/main/java/asterpulley/Front.java
+++ b/core/src/main/java/asterpulley/Front.java
@@ -34,6 +34,11 @@
         return true;
     }
 
+    /** Nobody was found for this tunnel: true where {@link #may} allows it more from now on, so that a look is worth it. */
+    default boolean widen(Balance.Tunnel tun) {
+        return false;
+    }
+
     /** One line for the operators. */
     void log(String line);
 }
--- a/lab/src/main/java/asterpulley/lab/model/Host.java
+++ b/lab/src/main/java/asterpulley/lab/model/Host.java
@@ -12,8 +12,10 @@
 
     void move(long id);
 
-    /** True where a tunnel of this relay may go to that server now. */
-    boolean may(String server);
+    /** True where this tunnel may go to that server now; and whether more is open to it from now on. */
+    boolean may(long id, String server);
+
+    boolean widen(long id);
 
     void probe(String server);
 
--- a/lab/src/main/java/asterpulley/lab/model/ModuleBrain.java
+++ b/lab/src/main/java/asterpulley/lab/model/ModuleBrain.java
@@ -41,7 +41,12 @@
 
             @Override
             public boolean may(Balance.Tunnel tun, String ep) {
-                return host.may(ep);
+                return host.may(tun.id, ep);
+            }
+
+            @Override
+            public boolean widen(Balance.Tunnel tun) {
+                return host.widen(tun.id);
             }
 
             @Override
--- a/lab/src/main/java/asterpulley/lab/model/PlainBrain.java
+++ b/lab/src/main/java/asterpulley/lab/model/PlainBrain.java
@@ -16,8 +16,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * The textbook policies to compare with: random, round robin, least own tunnels, the better of two random choices, and
- * an ideal that sees every server as it is. All of them leave a server out for a while that failed three times in a row,
+ * The textbook policies to compare with: random, round robin, least own tunnels, the better of two random choices, a
+ * fixed priority of rooms with an over-provisioning factor, and an ideal that sees every server as it is. All of them leave a server out for a while that failed three times in a row,
  * try again only where that is lawful, and move what stands on a draining server. It must keep the four rules as far as
  * such a policy can, so that what it is compared by is its choice.
  */
@@ -27,6 +27,8 @@
     private static final double MOVE_EVERY = 0.1;
     /** The ideal's bound: from here on a server's messages come late. */
     private static final double FULL = 0.9;
+    /** Priority by health: home gets all as long as this times its healthy part is all of it. */
+    private static final double OVERPROVISIONED = 1.4;
 
     private final String policy;
     private final Settings settings;
@@ -147,6 +149,7 @@
             return null;
         }
         return switch (policy) {
+            case "priority" -> priority(may);
             case "random" -> may.get(random.nextInt(may.size()));
             case "round-robin" -> may.get(turn++ % may.size());
             case "least-own" -> least(may, s -> own.getOrDefault(s, 0));
@@ -162,6 +165,19 @@
         };
     }
 
+    /** Home first, and as its healthy part falls a share of the tunnels goes to the others; within, the least own. */
+    private String priority(List<String> may) {
+        double all = 0;
+        for (Listed l : listed.values()) {
+            all += l.zone() == settings.zone && l.state() != Listed.State.GONE ? 1 : 0;
+        }
+        List<String> home = new ArrayList<>(), others = new ArrayList<>();
+        may.forEach(s -> (listed.get(s).zone() == settings.zone ? home : others).add(s));
+        double here = all == 0 ? 0 : Math.min(1, OVERPROVISIONED * home.size() / all);
+        boolean stays = others.isEmpty() || !home.isEmpty() && random.nextDouble() < here;
+        return least(stays ? home : others, s -> own.getOrDefault(s, 0));
+    }
+
     private String least(List<String> of, ToDoubleFunction<String> by) {
         String best = null;
         double low = Double.POSITIVE_INFINITY;
--- a/lab/src/main/java/asterpulley/lab/sock/RelayProcess.java
+++ b/lab/src/main/java/asterpulley/lab/sock/RelayProcess.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,10 @@
     private final Process process;
     public final InetSocketAddress address;
 
-    private RelayProcess(Process process, InetSocketAddress address) {
+    private final Path file;
+
+    private RelayProcess(Process process, Path file, InetSocketAddress address) {
+        this.file = file;
         this.process = process;
         this.address = address;
     }
@@ -53,7 +57,7 @@
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         Process process = builder.start();
         OURS.add(process);
-        return new RelayProcess(process, address);
+        return new RelayProcess(process, file, address);
     }
 
     public boolean alive() {
@@ -64,6 +68,14 @@
         return process.exitValue();
     }
 
+    /** Gives it another configuration, and tells it to read that. */
+    void reload(Map<String, Object> config) throws IOException {
+        Path anew = file.resolveSibling(file.getFileName() + ".new");
+        Files.writeString(anew, ListStandIn.text(config));
+        Files.move(anew, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        run("kill", "-HUP", Long.toString(process.pid()));
+    }
+
     /** Tells it to leave in order. */
     public void leave() {
         process.destroy();
--- a/lab/src/main/java/asterpulley/lab/sock/Sockets.java
+++ b/lab/src/main/java/asterpulley/lab/sock/Sockets.java
@@ -150,12 +150,16 @@
     private void begin(int r) throws IOException {
         leaving[r] = false;
         awaited[r] = true;
-        relays[r] = RelayProcess.start(folder, "r" + (r + 1), RelayConfig.of(plan, world, r, text(relayAt(r)),
-                text(lists.get(r).address), lists.get(r).list(true, world.registry.whole())), plan.memory, relayAt(r));
+        relays[r] = RelayProcess.start(folder, "r" + (r + 1), config(r), plan.memory, relayAt(r));
         world.told(r, world.registry.whole());
         check(r);
     }
 
+    private Map<String, Object> config(int r) {
+        return RelayConfig.of(plan, world, r, text(relayAt(r)), text(lists.get(r).address),
+                lists.get(r).list(true, world.registry.whole()));
+    }
+
     /** As the front does: a relay is there once it has answered. */
     private void check(int r) {
         RelayProcess asked = relays[r];
@@ -248,6 +252,19 @@
         }
     }
 
+    @Override
+    public void reloadRelays() {
+        for (int r = 0; r < relays.length; r++) {
+            if (relays[r] != null) {
+                try {
+                    relays[r].reload(config(r));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        }
+    }
+
     // ---- Servers and lists
 
     @Override
--- a/lab/src/main/java/asterpulley/lab/world/Carrier.java
+++ b/lab/src/main/java/asterpulley/lab/world/Carrier.java
@@ -22,6 +22,9 @@
 
     void leaveRelay(int relay);
 
+    /** Relays are told anew what the plan says of pools now. */
+    void reloadRelays();
+
     /** A server's process ends or listens again: its connections were told already, new ones are refused or taken. */
     void listens(Server server, boolean up);
 
--- a/lab/src/main/java/asterpulley/lab/world/Figures.java
+++ b/lab/src/main/java/asterpulley/lab/world/Figures.java
@@ -22,7 +22,7 @@
             "setups.unanswered", "probes", "servers.fell");
     private static final List<String> OTHERS = List.of("credit.share", "rules.broken", "servers.worst_factor",
             "servers.mean_worst_factor", "setups_per_opened", "moves_per_client_min", "run.late_share", "relays.rss_mb",
-            "relays.cpu_us_per_setup", "spill.worst_share");
+            "relays.cpu_us_per_setup", "spill.worst_share", "spill.over_most", "spill.over_s", "spill.home_s");
     /** One row a second. */
     public static final List<String> SERIES = List.of("standing", "opened", "declined", "errors", "moves", "cut", "setups",
             "served_share", "worst_factor", "mean_factor", "silent_servers", "guests_load");
@@ -50,7 +50,8 @@
             }
         }
         for (Plan.ProfilePlan p : plan.profiles) {
-            if (figure.equals("credit.share." + p.name)) {
+            if (List.of("credit.share.", "opened.worst.", "declined.").contains(figure.replace(p.name, ""))
+                    && figure.endsWith(p.name)) {
                 return true;
             }
         }
--- a/lab/src/main/java/asterpulley/lab/world/Load.java
+++ b/lab/src/main/java/asterpulley/lab/world/Load.java
@@ -54,7 +54,9 @@
         int profile = one(plan.profiles, p -> p.share, random);
         int customer = one(plan.customers, c -> c.share, random);
         int group = plan.groups == 0 ? -1 : random.nextInt(plan.groups);
-        int home = one(plan.roomShares, s -> s, random);
+        int drawn = one(plan.roomShares, s -> s, random);
+        String of = plan.customers.get(customer).room;
+        int home = of == null ? drawn : plan.rooms.indexOf(of);
         Plan.ProfilePlan p = plan.profiles.get(profile);
         double lifetime = Math.max(0.5, -Math.log(1 - random.nextDouble()) * p.lifetime);
         // Loads spread about their mean as sums of two draws do: few are idle, few cost twice.
--- a/lab/src/main/java/asterpulley/lab/world/Server.java
+++ b/lab/src/main/java/asterpulley/lab/world/Server.java
@@ -27,6 +27,8 @@
     boolean down, silent, vanished, noAnswer, refusing, resetting, draining;
     double slow = 1, errorShare;
     double drainedAt = Double.NaN;
+    /** Of its load, what clients of other rooms brought. */
+    double guests;
     private double load, advancedAt, sound, overSince = Double.NaN;
     private final Map<Integer, Integer> groups = new HashMap<>();
     final Set<Setup> held = new LinkedHashSet<>();
@@ -123,25 +125,31 @@
         advance(now);
         held.add(setup);
         load += setup.of.client.born.load();
+        guests += guest(setup);
         int group = setup.of.client.born.group();
         if (group >= 0 && groups.merge(group, 1, Integer::sum) == 1) {
             load += groupCost;
         }
     }
 
+    private double guest(Setup setup) {
+        return setup.of.client.born.room() == room ? 0 : setup.of.client.born.load();
+    }
+
     void leave(Setup setup, double now) {
         if (!held.remove(setup)) {
             return;
         }
         advance(now);
         load -= setup.of.client.born.load();
+        guests -= guest(setup);
         int group = setup.of.client.born.group();
         if (group >= 0 && groups.merge(group, -1, Integer::sum) == 0) {
             groups.remove(group);
             load -= groupCost;
         }
         if (held.isEmpty()) {
-            load = 0;
+            load = guests = 0;
         }
     }
 
--- a/relay/src/main/java/asterpulley/net/Book.java
+++ b/relay/src/main/java/asterpulley/net/Book.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 
 /**
@@ -30,6 +31,7 @@
         }
     };
     private long lastId;
+    private Consumer<Passage> left = passage -> { };
     public double lastAcceptedAt;
     /** Connections that are open, and those of them that only wait for a peer to read the last word. */
     public int sockets, lingering;
@@ -76,8 +78,14 @@
         return passages.size();
     }
 
+    /** Is told of every tunnel as it is let go. */
+    public void whenLeft(Consumer<Passage> then) {
+        left = then;
+    }
+
     public void leave(Passage passage) {
         passages.remove(passage.id);
+        left.accept(passage);
         openIds.remove(passage.asked.id());
         endedIds.put(passage.asked.id(), true);
         if (passage.overdue != null) {
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -6,6 +6,7 @@
 import asterpulley.Outcome;
 import asterpulley.Report;
 import asterpulley.Settings;
+import asterpulley.routes.Guide;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.function.Consumer;
@@ -23,10 +24,14 @@
 public final class Route extends BaseFilter implements Front {
     private static final Logger LOG = Logger.getLogger(Balance.class.getName());
 
+    private static final double SWEEP = 0.25;
+
     private final Loop loop;
     private final Book book;
     private final ArrayDeque<Runnable> calls = new ArrayDeque<>();
     private boolean deciding;
+    /** Null where nothing narrows the module's choice, as on the platform: its classes are not even loaded then. */
+    private Guide guide;
     private Balance balance;
     private Consumer<String> probes;
     private Runnable watch;
@@ -36,13 +41,35 @@
         this.book = book;
     }
 
+    /** Narrows the module's choice from now on; before the start, or never. */
+    public void narrowedBy(Guide routes) {
+        guide = routes;
+        book.whenLeft(passage -> guide.over(passage.id));
+        loop.after(SWEEP, this::sweep);
+    }
+
+    /** Time passes for the pools; guests whose home is back are moved there. */
+    private void sweep() {
+        for (long id : guide.tick(loop.now())) {
+            Passage passage = book.find(id);
+            if (passage != null && passage.standing && !passage.moving) {
+                passage.talk.move(passage);
+            }
+        }
+        loop.after(SWEEP, this::sweep);
+    }
+
+    public Guide guide() {
+        return guide;
+    }
+
     /** Starts the module once all that it may call stands: who asks servers for their load, and who watches the list. */
     public void start(Settings settings, long seed, List<Listed> known, Consumer<String> probes, Runnable watch) {
         this.probes = probes;
         this.watch = watch;
         tell(() -> {
             balance = new Balance(settings, seed, this);
-            balance.list(known, true);
+            list(known, true);
         });
         if (!settings.listMustBeAsked) {
             // The module asks only where it must; on sockets news always has to be asked for.
@@ -83,6 +110,9 @@
             passage.talk.reopen(passage);
         } else {
             Asked o = passage.asked;
+            if (guide != null) {
+                guide.taken(passage.id, o.profile(), o.key(), loop.now());
+            }
             double budget = Double.isNaN(o.patience()) ? 0 : Math.max(1e-3, o.patience());
             tell(() -> passage.handle = balance.take(passage.id, o.profile(), o.customer(), o.group(), o.key(),
                     budget, false));
@@ -114,6 +144,11 @@
 
     public void opened(Passage passage) {
         Asked o = passage.asked;
+        if (guide != null && passage.handle == null) {
+            guide.standing(passage.id, o.profile(), o.key(), passage.host, loop.now());
+        } else if (guide != null) {
+            guide.opened(passage.id, loop.now());
+        }
         if (passage.handle == null) {
             tell(() -> passage.handle = balance.standing(passage.id, o.profile(), o.customer(), o.group(), o.key(),
                     passage.host));
@@ -126,6 +161,9 @@
 
     /** A setup, or what it opened, has ended. */
     public void ended(Passage passage, Failure failure) {
+        if (guide != null) {
+            guide.ended(passage.id, failure.outcome(), failure.cause() != Failure.Cause.CLIENT_LEFT, loop.now());
+        }
         if (passage.handle != null || deciding) {
             int setup = passage.setups - 1;
             double lag = loop.now() - passage.sentAt;
@@ -141,6 +179,9 @@
     }
 
     public void load(Passage passage, double cores) {
+        if (guide != null) {
+            guide.load(passage.id, cores);
+        }
         if (passage.handle != null) {
             tell(() -> passage.handle.load(cores));
         }
@@ -153,11 +194,21 @@
     }
 
     public void probed(String host, Outcome outcome, Report report) {
+        if (guide != null) {
+            guide.probed(host, outcome, report, loop.now());
+        }
         tell(() -> balance.probed(host, outcome, report));
     }
 
     public void listed(List<Listed> servers, boolean whole) {
-        tell(() -> balance.list(servers, whole));
+        tell(() -> list(servers, whole));
+    }
+
+    private void list(List<Listed> servers, boolean whole) {
+        if (guide != null) {
+            guide.list(servers, whole, loop.now());
+        }
+        balance.list(servers, whole);
     }
 
     public void listFailed() {
@@ -175,10 +226,23 @@
     public void setup(Balance.Tunnel tun, String ep, double timeout) {
         Passage passage = book.find(tun.id);
         if (passage != null) {
+            if (guide != null) {
+                guide.setup(tun.id, ep, loop.now());
+            }
             passage.talk.setup(passage, ep, timeout);
         }
     }
 
+    @Override
+    public boolean may(Balance.Tunnel tun, String ep) {
+        return guide == null || guide.may(tun.id, ep, loop.now());
+    }
+
+    @Override
+    public boolean widen(Balance.Tunnel tun) {
+        return guide != null && guide.widen(tun.id, loop.now());
+    }
+
     @Override
     public void decline(Balance.Tunnel tun, double retryAfter) {
         book.decline(book.find(tun.id), retryAfter);
--- a/relay/src/main/java/asterpulley/serve/Config.java
+++ b/relay/src/main/java/asterpulley/serve/Config.java
@@ -1,11 +1,13 @@
 package asterpulley.serve;
 
 import asterpulley.Settings;
+import asterpulley.decode.CharterDecoder;
 import asterpulley.decode.Json;
 import asterpulley.decode.SettingsDecoder;
 import asterpulley.line.Words;
 import asterpulley.list.Fleet;
 import asterpulley.net.Addresses;
+import asterpulley.routes.Charter;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -32,6 +34,8 @@
     final Words words;
     final Fleet.Names names;
     final Fleet known;
+    /** What is told of pools; null where nothing is, as on the platform. */
+    private final Map<String, Object> routes;
     private final Map<String, Object> told;
 
     private Config(Map<String, Object> in) {
@@ -47,6 +51,11 @@
         words = new Words(told);
         names = new Fleet.Names(told);
         known = Fleet.read(Json.object(in.get("known"), "known"), names);
+        routes = in.get("routes") == null ? null : Json.object(in.get("routes"), "routes");
+        if (routes != null) {
+            // What is wrong with it is to be said now, not when it is used.
+            charter();
+        }
         if (settings.profiles.isEmpty()) {
             throw new Json.Malformed("settings name no profiles");
         }
@@ -70,6 +79,14 @@
         }
     }
 
+    boolean tellsOfPools() {
+        return routes != null;
+    }
+
+    Charter charter() {
+        return CharterDecoder.charter(routes, settings.zone, told);
+    }
+
     /** True where that reading asks for what only a new start can give: the module and the names are set up once. */
     boolean needsStart(Config anew) {
         return !told.equals(anew.told) || !name.equals(anew.name) || !listen.equals(anew.listen);
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -17,6 +17,7 @@
 import asterpulley.net.Passage;
 import asterpulley.net.Route;
 import asterpulley.net.SocketFilter;
+import asterpulley.routes.Guide;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -108,6 +109,9 @@
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
         loop.handIn(() -> {
+            if (config.tellsOfPools()) {
+                route.narrowedBy(new Guide(config.charter(), loop.now(), book::log, book::count));
+            }
             route.start(config.settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
             lobby.start();
             relay.start();
@@ -151,6 +155,10 @@
                 + ", sockets " + anew.sockets + ", held " + book.held()
                 + (config.needsStart(anew) ? "; changes of name, listen and settings wait for a restart" : ""));
         book.count("configurations");
+        if (anew.tellsOfPools() != (route.guide() != null)
+                || anew.tellsOfPools() && !route.guide().change(anew.charter())) {
+            LOG.warning("pools wait for a restart: whether they are told, their names and this relay's own count from a start");
+        }
         config = anew;
         limits();
         if (anew.discovery == null) {
--- /dev/null
+++ b/routes/src/main/java/asterpulley/routes/Guide.java
@@ -0,0 +1,373 @@
+package asterpulley.routes;
+
+import asterpulley.Listed;
+import asterpulley.Outcome;
+import asterpulley.Report;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Owns the way between a relay and its routes: servers by name, tunnels by number, what is told of them in the order in
+ * which it happens, and the answers that the decision module asks for. One for a relay on sockets and in virtual time
+ * alike. It must decide nothing that {@link Routes} or {@link WayBack} decide, and never hold a tunnel that is over.
+ */
+public final class Guide {
+    /** Reports that make up a mean, at most. */
+    private static final double MEAN_OF = 50;
+
+    /** A tunnel from its opening to its end. */
+    private static final class Tun {
+        private final int profile;
+        private final String key;
+        private int turn, setups, server = -1;
+        private boolean stands, guest;
+        private double units = 1, openedAt;
+
+        private Tun(int profile, String key) {
+            this.profile = profile;
+            this.key = key;
+        }
+    }
+
+    private final Routes routes;
+    private final WayBack wayBack;
+    private final Consumer<String> log, count;
+    private final Map<String, Integer> index = new HashMap<>();
+    private final List<String> names = new ArrayList<>();
+    private final Map<Long, Tun> tunnels = new HashMap<>();
+    private final Set<Long> guests = new LinkedHashSet<>();
+    private final boolean[] spilling;
+    private boolean returning, spent;
+    private long sentHome;
+    private Rush[] rushes = {};
+    /** Of loads as servers tell them: over all tunnels, and by profile. */
+    private double mean, seen;
+    private double[] means = {}, seens = {};
+
+    /** {@code count}: adds one to the counter of that name. */
+    public Guide(Charter charter, double now, Consumer<String> log, Consumer<String> count) {
+        routes = new Routes(charter, now, log);
+        wayBack = new WayBack(now);
+        spilling = new boolean[charter.pools.size()];
+        this.log = log;
+        this.count = count;
+    }
+
+    /** A reload: false, and nothing is changed, where only a new start can bring that charter. */
+    public boolean change(Charter anew) {
+        if (routes.charter().needsStart(anew)) {
+            return false;
+        }
+        routes.change(anew);
+        return true;
+    }
+
+    // ---- The list and the servers
+
+    public void list(List<Listed> servers, boolean whole, double now) {
+        boolean[] named = new boolean[names.size() + servers.size()];
+        for (Listed l : servers) {
+            int s = index.computeIfAbsent(l.ep(), name -> {
+                names.add(name);
+                return names.size() - 1;
+            });
+            named[s] = true;
+            int pool = routes.charter().by == Charter.By.ZONE ? l.zone() : l.model();
+            routes.listed(s, Math.min(pool, spilling.length - 1), l.state() != Listed.State.GONE,
+                    l.state() == Listed.State.RUNNING, l.startedAt(), now);
+        }
+        for (int s = 0; whole && s < names.size(); s++) {
+            if (!named[s]) {
+                routes.listed(s, routes.poolOf(s), false, false, Double.NEGATIVE_INFINITY, now);
+            }
+        }
+    }
+
+    public void probed(String server, Outcome outcome, Report report, double now) {
+        Integer s = index.get(server);
+        if (s == null) {
+            return;
+        }
+        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.NO_CONNECTION) {
+            routes.unanswered(s, now);
+            return;
+        }
+        routes.answered(s, now);
+        double told = Double.isNaN(report.load) ? report.busy : report.load;
+        if (!Double.isNaN(told)) {
+            routes.load(s, told);
+        }
+    }
+
+    // ---- Tunnels
+
+    public void taken(long id, int profile, String key, double now) {
+        tunnels.put(id, new Tun(profile, key));
+        rush(profile, now).comes(now);
+    }
+
+    /** A tunnel that stood there before this relay started: it counts as any other that stands. */
+    public void standing(long id, int profile, String key, String server, double now) {
+        Integer s = index.get(server);
+        if (s != null) {
+            Tun tun = new Tun(profile, key);
+            tunnels.put(id, tun);
+            tun.server = s;
+            tun.guest = routes.stands(s, profile, tun.units);
+            opened(id, now);
+        }
+    }
+
+    private Rush rush(int profile, double now) {
+        if (profile >= rushes.length) {
+            int from = rushes.length;
+            rushes = Arrays.copyOf(rushes, profile + 1);
+            for (int p = from; p < rushes.length; p++) {
+                rushes[p] = new Rush(now);
+            }
+        }
+        return rushes[profile];
+    }
+
+    /** What the module asks: whether this tunnel may go to that server now. */
+    public boolean may(long id, String server, double now) {
+        return why(id, server, now) == Why.OPEN;
+    }
+
+    public Why why(long id, String server, double now) {
+        Tun tun = tunnels.get(id);
+        Integer s = index.get(server);
+        return tun == null ? Why.OPEN : s == null ? Why.UNKNOWN
+                : routes.why(id, s, tun.profile, units(tun.profile), tun.turn, tun.setups > 0, now);
+    }
+
+    /** What the module asks where it found nobody: whether more is open now than was. */
+    public boolean widen(long id, double now) {
+        Tun tun = tunnels.get(id);
+        int next = tun == null ? -1 : routes.wider(tun.turn, tun.profile, units(tun.profile), tun.setups > 0, now);
+        if (tun != null && tun.setups > 0) {
+            retriesNoted(now);
+        }
+        if (next < 0) {
+            return false;
+        }
+        tun.turn = next;
+        return true;
+    }
+
+    private void retriesNoted(double now) {
+        boolean is = !routes.retries().may(now);
+        if (is) {
+            count.accept("retries_refused");
+        }
+        if (is != spent) {
+            spent = is;
+            log.accept("further setups " + (is ? "spent: tunnels that failed once are given up" : "to be had again")
+                    + ", tunnels " + tunnels.size());
+        }
+    }
+
+    public void setup(long id, String server, double now) {
+        Tun tun = tunnels.get(id);
+        Integer s = index.get(server);
+        if (tun == null || s == null) {
+            return;
+        }
+        tun.server = s;
+        tun.units = units(tun.profile);
+        tun.guest = routes.comes(s, tun.profile, tun.units, tun.setups++ > 0, now);
+        if (tun.guest) {
+            count.accept("spilled");
+            int pool = routes.poolOf(s);
+            if (!spilling[pool]) {
+                spilling[pool] = true;
+                log.accept("spill to " + routes.charter().pools.get(pool) + " begins, home "
+                        + routes.pool(routes.charter().home).condition().name().toLowerCase().replace('_', ' ') + ", at most "
+                        + Math.round(routes.spill(pool).most()) + " mean loads from here");
+            }
+        }
+    }
+
+    public void opened(long id, double now) {
+        Tun tun = tunnels.get(id);
+        if (tun != null && tun.server >= 0) {
+            tun.stands = true;
+            tun.openedAt = now;
+            routes.answered(tun.server, now);
+            if (tun.guest) {
+                guests.add(id);
+            }
+        }
+    }
+
+    /** A server tells what this tunnel loads it. */
+    public void load(long id, double told) {
+        Tun tun = tunnels.get(id);
+        if (tun == null || !(told > 0)) {
+            return;
+        }
+        if (tun.profile >= means.length) {
+            means = Arrays.copyOf(means, tun.profile + 1);
+            seens = Arrays.copyOf(seens, tun.profile + 1);
+        }
+        seen = Math.min(MEAN_OF, seen + 1);
+        mean += (told - mean) / seen;
+        seens[tun.profile] = Math.min(MEAN_OF, seens[tun.profile] + 1);
+        means[tun.profile] += (told - means[tun.profile]) / seens[tun.profile];
+        double is = told / mean;
+        if (tun.guest) {
+            routes.guestChanges(routes.poolOf(tun.server), tun.profile, is - tun.units);
+        }
+        tun.units = is;
+    }
+
+    /** What a tunnel of that profile loads, in mean loads, as far as it is known. */
+    private double units(int profile) {
+        return profile < means.length && seens[profile] > 0 && mean > 0 ? means[profile] / mean : 1;
+    }
+
+    /** A setup, or what it opened, has ended; {@code told}: that says something of its server. */
+    public void ended(long id, Outcome outcome, boolean told, double now) {
+        Tun tun = tunnels.get(id);
+        if (tun == null || tun.server < 0) {
+            return;
+        }
+        int s = tun.server;
+        boolean stood = tun.stands;
+        lets(id, tun);
+        if (stood || !told) {
+            return;
+        }
+        switch (outcome) {
+            case OK, FAILED, FULL -> routes.answered(s, now);
+            case TIMED_OUT -> routes.timedOut(s, now);
+            case NO_CONNECTION -> routes.unanswered(s, now);
+            default -> {
+                // A reset or a cancelled one says nothing of whether it answers.
+            }
+        }
+    }
+
+    private void lets(long id, Tun tun) {
+        if (tun.guest) {
+            routes.guestChanges(routes.poolOf(tun.server), tun.profile, -tun.units);
+            guests.remove(id);
+        }
+        tun.server = -1;
+        tun.guest = tun.stands = false;
+    }
+
+    /** A tunnel is over, however it came to that. */
+    public void over(long id) {
+        Tun tun = tunnels.remove(id);
+        if (tun != null && tun.server >= 0) {
+            lets(id, tun);
+        }
+    }
+
+    // ---- Time
+
+    /** Time passes; who is to be sent home now, each to be moved by the caller. */
+    public List<Long> tick(double now) {
+        routes.tick(now);
+        Charter charter = routes.charter();
+        for (int p = 0; p < spilling.length; p++) {
+            if (spilling[p] && routes.spill(p).guests() <= 0) {
+                spilling[p] = false;
+                log.accept("spill to " + charter.pools.get(p) + " is over, sent home " + sentHome);
+            }
+        }
+        if (!charter.returns()) {
+            return List.of();
+        }
+        double bears = routes.bears(now);
+        if (returning != (bears > 0 && !guests.isEmpty())) {
+            returning = !returning;
+            log.accept("way back " + (returning ? "begins" : "ends") + ", guests " + guests.size() + ", home bears "
+                    + Math.round(bears * 100) / 100.0 + " mean loads a second, sent home " + sentHome);
+        }
+        List<WayBack.Guest> away = new ArrayList<>();
+        for (long id : returning ? guests : Set.<Long>of()) {
+            Tun tun = tunnels.get(id);
+            away.add(new WayBack.Guest(id, tun.key, tun.units, credit(charter, tun.profile), tun.openedAt,
+                    spared(charter, tun.profile, now)));
+        }
+        List<Long> leave = wayBack.leave(away, charter.stay, returning ? bears : 0, now);
+        sentHome += leave.size();
+        leave.forEach(id -> count.accept("sent_home"));
+        return leave;
+    }
+
+    private boolean spared(Charter charter, int profile, double now) {
+        return profile < charter.spared.length && charter.spared[profile]
+                || profile < charter.sparedInRush.length && charter.sparedInRush[profile] && rush(profile, now).on(now);
+    }
+
+    private static double credit(Charter charter, int profile) {
+        return profile < charter.credit.length ? charter.credit[profile] : 1;
+    }
+
+    public Pool.Condition condition(int pool) {
+        return routes.pool(pool).condition();
+    }
+
+    /** Guests of this relay in that pool, in mean loads. */
+    public double guests(int pool) {
+        return routes.spill(pool).guests();
+    }
+
+    public int tunnels() {
+        return tunnels.size();
+    }
+
+    /** What this relay knows of pools and servers, for whoever explains a choice: plain values, times in seconds ago. */
+    public Map<String, Object> state(double now) {
+        Charter charter = routes.charter();
+        Map<String, Object> state = new LinkedHashMap<>();
+        state.put("home", charter.pools.get(charter.home));
+        List<Object> of = new ArrayList<>();
+        for (int p = 0; p < charter.pools.size(); p++) {
+            Pool pool = routes.pool(p);
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("name", charter.pools.get(p));
+            one.put("condition", pool.condition().name().toLowerCase());
+            one.put("since_s", finite(now - pool.since()));
+            one.put("running", pool.running);
+            one.put("silent", pool.quiet);
+            one.put("mean_load", finite(pool.meanLoad()));
+            one.put("guests", routes.spill(p).guests());
+            one.put("guests_most", routes.spill(p).most());
+            of.add(one);
+        }
+        state.put("pools", of);
+        List<Object> servers = new ArrayList<>();
+        for (int s = 0; s < names.size(); s++) {
+            Routes.Known k = routes.known(s, now);
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("name", names.get(s));
+            one.put("pool", charter.pools.get(k.pool()));
+            one.put("state", !k.listed() ? "gone" : k.running() ? "up" : "draining");
+            one.put("silent", k.silent());
+            one.put("load", finite(k.load()));
+            one.put("placed", k.placed());
+            one.put("age_s", finite(k.age()));
+            one.put("answered_s", finite(k.answered()));
+            servers.add(one);
+        }
+        state.put("servers", servers);
+        state.put("retries_left", routes.retries().left());
+        state.put("tunnels", tunnels.size());
+        return state;
+    }
+
+    private static Double finite(double d) {
+        return Double.isFinite(d) ? d : null;
+    }
+}
--- a/routes/src/main/java/asterpulley/routes/PoolHealth.java
+++ b/routes/src/main/java/asterpulley/routes/PoolHealth.java
@@ -36,6 +36,16 @@
         return state == State.DARK;
     }
 
+    /** Since when it is in its state. */
+    public double since() {
+        return since;
+    }
+
+    /** Back, but it was believed too early before. */
+    public boolean doubted() {
+        return state == State.RETURNING && calm > bounds.calm;
+    }
+
     /** How long it must stay calm before it counts as sound again. */
     public double calm() {
         return calm;
--- a/routes/src/main/java/asterpulley/routes/Routes.java
+++ b/routes/src/main/java/asterpulley/routes/Routes.java
@@ -4,123 +4,350 @@
 import java.util.function.Consumer;
 
 /**
- * Owns the pools of one relay's fleet: which server is of which, how each is, and which of them a tunnel may go to. It
- * narrows what the decision module may choose from and chooses nothing itself: at home always, elsewhere within the
- * spill limit, and nowhere that is dark unless home is all there is. It must do no I/O and keep no clock.
+ * Owns the pools of one relay's fleet: which server is of which, how each is, and which of them a tunnel may go to in
+ * which turn. It narrows what the decision module may choose from and chooses nothing itself: at home first, elsewhere
+ * within the spill limit, and nowhere that is dark. Servers are dense indexes. It must do no I/O and keep no clock.
  */
 public final class Routes {
-    /** What an operator states: a part of a pool's room for guests, new guests a second, mean loads a server holds. */
-    public record Limits(double share, double rate, double holds) {
-    }
+    /** What relays of sound rooms may still spill while others are dark, of each limit, all together. */
+    private static final double SOUND_PART = 0.1;
+    /** A setup that timed out says nothing of a server that answered so short a time ago: what is behind it may be slow. */
+    private static final double ANSWERED_OF_LATE = 1;
+    /** The part of what a cold server can take that may come from those sent home: its own new clients need the rest. */
+    private static final double OF_COLD_BUDGET = 0.5;
 
-    private final int home, guestRelays;
-    private final Limits limits;
-    private final PoolHealth[] health;
+    private Charter charter;
+    private final Pool[] pools;
     private final SpillLimit[] spill;
+    private final RetryBudget retries;
     private final Consumer<String> log;
-    /** By pool: servers listed, and those of them that are silent. */
-    private final int[] servers, quiet;
-    private int[] poolOf = {};
-    private boolean[] silent = {}, listed = {};
-
-    /** {@code home}: this relay's own pool; {@code guestRelays}: how many share a pool's limits, this one counted: those at home elsewhere. */
-    public Routes(int pools, int home, int guestRelays, Limits limits, PoolHealth.Bounds bounds, double now,
-            Consumer<String> log) {
-        this.home = home;
-        this.guestRelays = guestRelays;
-        this.limits = limits;
+    private int[] turns;
+
+    private int[] poolOf = {}, placed = {};
+    private boolean[] listed = {}, running = {}, silent = {};
+    private double[] load = {}, answeredAt = {}, startedAt = {};
+
+    /** What was found of a pool for the tunnel last asked about: the same for all its servers while nothing changes. */
+    private final Why[] verdicts;
+    private long verdictOf = Long.MIN_VALUE;
+    private int verdictTurn;
+
+    public Routes(Charter charter, double now, Consumer<String> log) {
+        this.charter = charter;
         this.log = log;
-        servers = new int[pools];
-        quiet = new int[pools];
-        health = new PoolHealth[pools];
-        spill = new SpillLimit[pools];
-        for (int p = 0; p < pools; p++) {
-            health[p] = new PoolHealth(bounds);
-            spill[p] = new SpillLimit(0, limits.rate / guestRelays, now);
+        int n = charter.pools.size();
+        pools = new Pool[n];
+        spill = new SpillLimit[n];
+        verdicts = new Why[n];
+        turns = charter.turns(false);
+        for (int p = 0; p < n; p++) {
+            pools[p] = new Pool(charter.health, charter.overloadedFrom, charter.overloadedBelow, charter.listedFor);
+            spill[p] = new SpillLimit(charter, 0, 0, now);
         }
+        retries = new RetryBudget(charter.retryShare, charter.retryLeast, now);
+        limits();
     }
 
-    /** A server, by dense index, is listed in a pool or no longer. */
-    public void listed(int server, int pool, boolean there, double now) {
+    /** Other figures from now on; what stands stays, and what is above a lower limit leaves by itself. */
+    public void change(Charter anew) {
+        // The bounds of a pool's darkness count from a new start on: a state is not to be read by two rules.
+        anew.health = charter.health;
+        charter = anew;
+        for (int p = 0; p < pools.length; p++) {
+            pools[p].bounds(anew.overloadedFrom, anew.overloadedBelow, anew.listedFor);
+            spill[p].charter(anew);
+        }
+        retries.change(anew.retryShare, anew.retryLeast);
+        turns = anew.turns(pools[anew.home].doubted());
+        limits();
+    }
+
+    // ---- What is told
+
+    /** A server as the list has it; {@code there}: it names it at all. */
+    public void listed(int server, int pool, boolean there, boolean runs, double started, double now) {
         if (server >= poolOf.length) {
-            int m = Math.max(server + 1, 2 * poolOf.length);
-            poolOf = Arrays.copyOf(poolOf, m);
-            silent = Arrays.copyOf(silent, m);
-            listed = Arrays.copyOf(listed, m);
+            grow(Math.max(server + 1, 2 * poolOf.length));
         }
         count(server, -1);
+        if (started > startedAt[server] + 1e-3) {
+            startedAt[server] = started;
+            load[server] = Double.NaN;
+            placed[server] = 0;
+        }
         poolOf[server] = pool;
         listed[server] = there;
+        running[server] = there && runs;
         count(server, 1);
-        spill[pool].limits(limits.share * limits.holds * servers[pool] / guestRelays, limits.rate / guestRelays);
         judge(pool, now);
+        limits();
+    }
+
+    private void grow(int m) {
+        int from = poolOf.length;
+        poolOf = Arrays.copyOf(poolOf, m);
+        placed = Arrays.copyOf(placed, m);
+        listed = Arrays.copyOf(listed, m);
+        running = Arrays.copyOf(running, m);
+        silent = Arrays.copyOf(silent, m);
+        load = Arrays.copyOf(load, m);
+        answeredAt = Arrays.copyOf(answeredAt, m);
+        startedAt = Arrays.copyOf(startedAt, m);
+        Arrays.fill(load, from, m, Double.NaN);
+        Arrays.fill(answeredAt, from, m, Double.NEGATIVE_INFINITY);
+        Arrays.fill(startedAt, from, m, Double.NEGATIVE_INFINITY);
+    }
+
+    /** A server answered something. */
+    public void answered(int server, double now) {
+        answeredAt[server] = now;
+        heard(server, false, now);
+    }
+
+    /** A question for its load, or a connection to it, found nobody. */
+    public void unanswered(int server, double now) {
+        heard(server, true, now);
     }
 
-    /** A server answered, or left a question or a setup unanswered. */
-    public void heard(int server, boolean answered, double now) {
+    /** A setup there had no answer in its time. */
+    public void timedOut(int server, double now) {
+        if (now - answeredAt[server] > ANSWERED_OF_LATE) {
+            heard(server, true, now);
+        }
+    }
+
+    private void heard(int server, boolean nothing, double now) {
+        if (silent[server] != nothing) {
+            count(server, -1);
+            silent[server] = nothing;
+            count(server, 1);
+            limits();
+        }
+        judge(poolOf[server], now);
+    }
+
+    /** Its load report: load over what it can do now. */
+    public void load(int server, double reported) {
         count(server, -1);
-        silent[server] = !answered;
+        load[server] = reported;
+        placed[server] = 0;
         count(server, 1);
-        judge(poolOf[server], now);
+        verdictOf = Long.MIN_VALUE;
     }
 
     /** Adds a server to its pool's counts, or takes it off: kept, since a walk over the fleet for each answer costs. */
     private void count(int server, int by) {
-        if (listed[server]) {
-            servers[poolOf[server]] += by;
-            quiet[poolOf[server]] += silent[server] ? by : 0;
+        if (!running[server]) {
+            return;
+        }
+        Pool pool = pools[poolOf[server]];
+        pool.running += by;
+        if (silent[server]) {
+            pool.quiet += by;
+        } else if (!Double.isNaN(load[server])) {
+            pool.known += by;
+            pool.loads += by * load[server];
         }
     }
 
-    private void judge(int pool, double now) {
-        // A pool that nobody lists is as good as dark.
-        double part = servers[pool] == 0 ? 1 : (double) quiet[pool] / servers[pool];
-        PoolHealth.State was = health[pool].state();
-        if (health[pool].seen(part, now)) {
-            log.accept("pool " + pool + " " + was.name().toLowerCase() + " to " + health[pool].state().name().toLowerCase()
-                    + ", silent " + quiet[pool] + " of " + servers[pool] + ", guests " + spill[pool].guests());
+    private void judge(int p, double now) {
+        Pool pool = pools[p];
+        Pool.Condition was = pool.condition();
+        if (pool.judge(now)) {
+            log.accept("pool " + charter.pools.get(p) + " " + was.name().toLowerCase().replace('_', ' ') + " to "
+                    + pool.condition().name().toLowerCase().replace('_', ' ') + ", silent " + pool.quiet + " of "
+                    + pool.running + ", mean load " + Math.round(pool.meanLoad() * 100) / 100.0 + ", guests "
+                    + Math.round(spill[p].guests()));
+            turns = charter.turns(pools[charter.home].doubted());
+            limits();
         }
     }
 
     /** Time passes: what is suspected is confirmed, what stays calm is sound. */
     public void tick(double now) {
-        for (int p = 0; p < health.length; p++) {
+        for (int p = 0; p < pools.length; p++) {
             judge(p, now);
         }
     }
 
-    /** True where a tunnel of this relay may go to that server now. */
-    public boolean may(int server, double now) {
-        int pool = poolOf[server];
-        if (pool == home) {
-            return true;
+    /**
+     * This relay's part of every pool's limit. Relays share nothing, so each takes its part of what all are given by what
+     * it sees itself: while rooms are dark nearly all of it is for the relays at home in those.
+     */
+    private void limits() {
+        int dark = 0;
+        for (Pool pool : pools) {
+            dark += pool.dark() ? 1 : 0;
+        }
+        for (int p = 0; p < pools.length; p++) {
+            if (p == charter.home) {
+                continue;
+            }
+            int others = pools.length - 1;
+            int darkOthers = dark - (pools[p].dark() ? 1 : 0);
+            double part;
+            if (darkOthers == 0) {
+                part = 1.0 / others;
+            } else if (pools[charter.home].dark()) {
+                part = (darkOthers == others ? 1 : 1 - SOUND_PART) / darkOthers;
+            } else {
+                part = SOUND_PART / (others - darkOthers);
+            }
+            part /= charter.relaysPerPool;
+            spill[p].limits(charter.share * charter.holds * pools[p].heard() * part, charter.rate * part);
         }
-        return !health[pool].dark() && spill[pool].may(now);
+        verdictOf = Long.MIN_VALUE;
     }
 
-    /** A setup goes out to that server, or has ended, or what it opened has. */
-    public void comes(int server, double now) {
-        if (poolOf[server] != home) {
-            spill[poolOf[server]].comes(now);
+    // ---- What is asked
+
+    /** Whether a tunnel may go to that server now, in its turn; the tunnel's number only tells one question from the next. */
+    public Why why(long tunnel, int server, int profile, double units, int turn, boolean further, double now) {
+        if (server >= listed.length || !listed[server]) {
+            return Why.UNKNOWN;
+        }
+        if (tunnel != verdictOf || turn != verdictTurn) {
+            Arrays.fill(verdicts, null);
+            verdictOf = tunnel;
+            verdictTurn = turn;
+        }
+        int p = poolOf[server];
+        Why verdict = verdicts[p];
+        if (verdict == null) {
+            verdict = further && !retries.may(now) ? Why.RETRIES_SPENT : turns[p] > turn ? Why.LATER_TURN
+                    : pool(p, profile, units, now);
+            verdicts[p] = verdict;
+        }
+        if (verdict != Why.OPEN) {
+            return verdict;
+        }
+        if (p == charter.home) {
+            // What of a dark home has answered since is open: some of it lives.
+            if (pools[p].dark() && !(answeredAt[server] > pools[p].since())) {
+                return Why.POOL_DARK;
+            }
+        } else if (estimate(server, now) >= charter.guestsBelow) {
+            return Why.NEAR_FULL;
         }
+        return charter.kept.length > 0 && estimate(server, now) >= charter.ceiling(profile) ? Why.KEPT : Why.OPEN;
     }
 
-    public void leaves(int server) {
-        if (poolOf[server] != home) {
-            spill[poolOf[server]].leaves();
+    private Why pool(int p, int profile, double units, double now) {
+        if (p == charter.home) {
+            return Why.OPEN;
         }
+        return switch (pools[p].condition()) {
+            case DARK, CUT_OFF -> Why.POOL_DARK;
+            case UNLISTED -> Why.POOL_UNLISTED;
+            case OVERLOADED -> Why.POOL_OVERLOADED;
+            default -> spill[p].why(profile, units, now);
+        };
+    }
+
+    /** Reported load and a step for each own placement since; nothing known counts as empty, as the module takes it. */
+    private double estimate(int server, double now) {
+        double known = Double.isNaN(load[server]) ? 0 : load[server];
+        return known + placed[server] / (charter.holds * warmth(server, now));
+    }
+
+    private double warmth(int server, double now) {
+        double age = now - startedAt[server];
+        return age >= charter.warmUp ? 1
+                : charter.coldFrom + (1 - charter.coldFrom) * Math.max(0, age) / charter.warmUp;
+    }
+
+    /** The next turn in which more is open to this tunnel than in that one; -1 where there is none. */
+    public int wider(int turn, int profile, double units, boolean further, double now) {
+        if (further && !retries.may(now)) {
+            return -1;
+        }
+        int next = Integer.MAX_VALUE;
+        for (int p = 0; p < pools.length; p++) {
+            if (turns[p] > turn && pool(p, profile, units, now) == Why.OPEN) {
+                next = Math.min(next, turns[p]);
+            }
+        }
+        return next == Integer.MAX_VALUE ? -1 : next;
+    }
+
+    // ---- What goes on
+
+    /** A setup goes out to that server; true where its tunnel is a guest there. */
+    public boolean comes(int server, int profile, double units, boolean further, double now) {
+        retries.goes(further, now);
+        placed[server]++;
+        verdictOf = Long.MIN_VALUE;
+        if (poolOf[server] != charter.home) {
+            spill[poolOf[server]].spends(now);
+        }
+        return stands(server, profile, units);
+    }
+
+    /** A tunnel is at that server; true where it is a guest there. */
+    boolean stands(int server, int profile, double units) {
+        boolean guest = poolOf[server] != charter.home;
+        if (guest) {
+            guestChanges(poolOf[server], profile, units);
+        }
+        return guest;
+    }
+
+    /** A guest's load is another than was taken; {@code by} below 0 also where it leaves. */
+    public void guestChanges(int pool, int profile, double by) {
+        spill[pool].changes(profile, by);
+        verdictOf = Long.MIN_VALUE;
+    }
+
+    public int poolOf(int server) {
+        return poolOf[server];
+    }
+
+    /** Mean loads a second that this relay may send home now: what cold servers there bear, and no more than stated. */
+    double bears(double now) {
+        Pool home = pools[charter.home];
+        if (home.condition() != Pool.Condition.SOUND || home.meanLoad() >= charter.guestsBelow) {
+            return 0;
+        }
+        double bears = 0;
+        for (int s = 0; s < running.length; s++) {
+            if (!running[s] || silent[s] || poolOf[s] != charter.home) {
+                continue;
+            }
+            if (now - startedAt[s] >= charter.warmUp) {
+                bears += charter.returnWarm * charter.holds;
+            } else {
+                // The budgets of all relays make up what a cold server bears; at home only those of this pool's place.
+                double budget = charter.fallMultiple * charter.holds * warmth(s, now) / charter.warmUp / pools.length;
+                bears += Math.min(charter.returnShare * charter.holds, OF_COLD_BUDGET * budget);
+            }
+        }
+        return bears / charter.relaysPerPool;
+    }
+
+    public Pool pool(int p) {
+        return pools[p];
+    }
+
+    public SpillLimit spill(int p) {
+        return spill[p];
+    }
+
+    public RetryBudget retries() {
+        return retries;
     }
 
-    /** The room of this relay's home, in mean loads, as far as its servers are listed. */
-    public double roomAtHome() {
-        return servers[home] * limits.holds;
+    Charter charter() {
+        return charter;
     }
 
-    public PoolHealth.State state(int pool) {
-        return health[pool].state();
+    /** What is known of a server, for whoever prints it. */
+    Known known(int server, double now) {
+        return new Known(poolOf[server], listed[server], running[server], silent[server], load[server], placed[server],
+                now - startedAt[server], now - answeredAt[server]);
     }
 
-    public int guests(int pool) {
-        return spill[pool].guests();
+    /** A server as this relay sees it; times in seconds ago, without end where never. */
+    record Known(int pool, boolean listed, boolean running, boolean silent, double load, int placed, double age,
+            double answered) {
     }
 }
--- /dev/null
+++ b/routes/src/test/java/asterpulley/routes/GuideTest.java
@@ -0,0 +1,433 @@
+package asterpulley.routes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import asterpulley.Listed;
+import asterpulley.Outcome;
+import asterpulley.Report;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** One relay's routes in virtual time: who may go where, in which turn, within which limits, and home again. */
+class GuideTest {
+    private static final int EACH = 2;
+    private final List<String> log = new ArrayList<>(), counted = new ArrayList<>();
+    private Charter charter = charter();
+    private Guide guide;
+    private double now = 100;
+    private long ids;
+
+    private static Charter charter() {
+        Charter c = new Charter();
+        c.pools = List.of("west", "east", "north");
+        c.share = 0.2;
+        c.holds = 50;
+        c.warmUp = 10;
+        c.prefer = List.of(List.of(2), List.of(), List.of());
+        c.credit = new double[] {1, 3};
+        return c;
+    }
+
+    private static String name(int pool, int i) {
+        return "s" + pool + i;
+    }
+
+    private static Listed server(int pool, int i, Listed.State state, double started) {
+        return new Listed(name(pool, i), pool, 0, 0, state, started);
+    }
+
+    private void start() {
+        guide = new Guide(charter, now, log::add, counted::add);
+        List<Listed> all = new ArrayList<>();
+        for (int p = 0; p < charter.pools.size(); p++) {
+            for (int i = 0; i < EACH; i++) {
+                all.add(server(p, i, Listed.State.RUNNING, Double.NEGATIVE_INFINITY));
+            }
+        }
+        guide.list(all, true, now);
+        for (int p = 0; p < charter.pools.size(); p++) {
+            report(p, 0.3);
+        }
+    }
+
+    private void report(int pool, double load) {
+        Report r = new Report();
+        r.load = load;
+        for (int i = 0; i < EACH; i++) {
+            guide.probed(name(pool, i), Outcome.OK, r, now);
+        }
+    }
+
+    private void silent(int pool) {
+        for (int i = 0; i < EACH; i++) {
+            guide.probed(name(pool, i), Outcome.TIMED_OUT, new Report(), now);
+        }
+    }
+
+    private void pass(double seconds) {
+        for (double end = now + seconds; now < end - 1e-9; now += 0.25) {
+            guide.tick(now);
+        }
+    }
+
+    private long taken(int profile) {
+        guide.taken(++ids, profile, "k" + ids, now);
+        return ids;
+    }
+
+    private Why why(long id, int pool) {
+        return guide.why(id, name(pool, 0), now);
+    }
+
+    /** Opens as many guests in that pool as may be, of this profile. */
+    private int fill(int pool, int profile) {
+        for (int came = 0;; came++) {
+            long id = taken(profile);
+            while (why(id, pool) == Why.LATER_TURN && guide.widen(id, now)) {
+                continue;
+            }
+            if (why(id, pool) != Why.OPEN) {
+                guide.over(id);
+                return came;
+            }
+            guide.setup(id, name(pool, came % EACH), now);
+            guide.opened(id, now);
+        }
+    }
+
+    @Test
+    void turnsGoHomeFirstThenByPreferenceThenTheRest() {
+        start();
+        long id = taken(0);
+        assertEquals(Why.OPEN, why(id, 0));
+        assertEquals(Why.LATER_TURN, why(id, 2));
+        assertTrue(guide.widen(id, now));
+        assertEquals(Why.OPEN, why(id, 2));
+        assertEquals(Why.LATER_TURN, why(id, 1));
+        assertTrue(guide.widen(id, now));
+        assertEquals(Why.OPEN, why(id, 1));
+        assertEquals(Why.OPEN, why(id, 0));
+        assertFalse(guide.widen(id, now));
+        assertEquals(Why.UNKNOWN, guide.why(id, "stranger", now));
+    }
+
+    @Test
+    void aTurnThatOpensNothingIsPassedOver() {
+        start();
+        silent(2);
+        pass(1);
+        long id = taken(0);
+        assertTrue(guide.widen(id, now));
+        assertEquals(Why.OPEN, why(id, 1));
+        assertEquals(Why.POOL_DARK, why(id, 2));
+    }
+
+    @Test
+    void guestsKeepToThisRelaysPartAndAreCountedByLoad() {
+        start();
+        // A fifth of two servers of 50, of which one of two other rooms' relays takes half.
+        assertEquals(10, fill(2, 0));
+        assertEquals(Why.GUESTS_FULL, refused(2, 0));
+        // One of them turns out to load as much as three.
+        guide.load(1, 1);
+        guide.load(2, 3);
+        assertEquals(10 - 1 + 1.5, guide.guests(2), 0.01);
+        guide.over(1);
+        guide.over(2);
+        assertEquals(8, guide.guests(2), 0.01);
+    }
+
+    private Why refused(int pool, int profile) {
+        long id = taken(profile);
+        guide.widen(id, now);
+        guide.widen(id, now);
+        Why why = why(id, pool);
+        guide.over(id);
+        return why;
+    }
+
+    @Test
+    void whatIsKeptForAProfileOfGuestsIsLeftByOthersAndTakenByIt() {
+        charter.guestsKept = new double[] {0, 0.4};
+        start();
+        assertEquals(6, fill(2, 0));
+        assertEquals(4, fill(2, 1));
+    }
+
+    @Test
+    void whatIsKeptOfEveryServerStopsOnlyThoseOfLessCredit() {
+        charter.kept = new double[] {0, 0.15};
+        start();
+        report(0, 0.7);
+        assertEquals(Why.KEPT, why(taken(0), 0));
+        assertEquals(Why.OPEN, why(taken(1), 0));
+    }
+
+    @Test
+    void aServerTooFullForGuestsAndAnOverloadedPoolTakeNone() {
+        start();
+        report(2, 0.75);
+        assertEquals(Why.NEAR_FULL, refused(2, 0));
+        report(2, 0.95);
+        pass(1);
+        assertEquals(Pool.Condition.OVERLOADED, guide.condition(2));
+        assertEquals(Why.POOL_OVERLOADED, refused(2, 0));
+        report(2, 0.3);
+        pass(0.5);
+        assertEquals(Pool.Condition.SOUND, guide.condition(2));
+    }
+
+    @Test
+    void ofTwoDarkRoomsEachTakesHalfOfTheLimitAndSoundOnesATenth() {
+        charter.relaysPerPool = 2;
+        start();
+        silent(0);
+        pass(1);
+        // Alone in the dark: nine tenths of 20, by two relays.
+        assertEquals(9, fill(1, 0));
+        charter = charter();
+        charter.relaysPerPool = 2;
+        start();
+        silent(0);
+        silent(2);
+        pass(1);
+        assertEquals(5, fill(1, 0));
+        charter = charter();
+        charter.relaysPerPool = 1;
+        start();
+        silent(2);
+        pass(1);
+        assertEquals(2, fill(1, 0));
+    }
+
+    @Test
+    void aDarkHomeIsOpenOnlyWhereItAnsweredSinceAndALimitFollowsADrain() {
+        start();
+        silent(0);
+        pass(1);
+        assertEquals(Why.POOL_DARK, why(taken(0), 0));
+        guide.probed(name(0, 1), Outcome.OK, new Report(), now);
+        assertEquals(Why.OPEN, guide.why(taken(0), name(0, 1), now));
+        guide.list(List.of(server(2, 1, Listed.State.DRAINING, 0)), false, now);
+        // Half of the room drains, and guests are bound to a part of what is left.
+        assertEquals(9, fill(2, 0), 1);
+    }
+
+    @Test
+    void darkCutOffAndUnlistedAreToldApart() {
+        start();
+        silent(1);
+        silent(2);
+        pass(1);
+        assertEquals(Pool.Condition.DARK, guide.condition(1));
+        guide.list(List.of(server(2, 0, Listed.State.GONE, 0), server(2, 1, Listed.State.GONE, 0)), false, now);
+        pass(6);
+        assertEquals(Pool.Condition.CUT_OFF, guide.condition(1));
+        assertEquals(Pool.Condition.UNLISTED, guide.condition(2));
+        assertTrue(log.contains("pool east dark to cut off, silent 2 of 2, mean load 0.0, guests 0"), log.toString());
+    }
+
+    @Test
+    void aSlowAnswerBehindServersThatAnswerIsNoSilence() {
+        start();
+        for (int i = 0; i < 40; i++) {
+            long id = taken(0);
+            guide.setup(id, name(0, i % EACH), now);
+            guide.ended(id, Outcome.TIMED_OUT, true, now);
+            guide.over(id);
+            report(0, 0.4);
+            pass(0.25);
+        }
+        assertEquals(Pool.Condition.SOUND, guide.condition(0));
+        long id = taken(0);
+        pass(2);
+        guide.setup(id, name(0, 0), now);
+        guide.ended(id, Outcome.TIMED_OUT, true, now);
+        assertEquals(1, ((Number) pool(0).get("silent")).intValue());
+        // What a client does that leaves tells nothing.
+        guide.taken(++ids, 0, "k", now);
+        guide.setup(ids, name(0, 1), now);
+        guide.ended(ids, Outcome.NO_CONNECTION, false, now);
+        assertEquals(1, ((Number) pool(0).get("silent")).intValue());
+    }
+
+    private java.util.Map<?, ?> pool(int p) {
+        return (java.util.Map<?, ?>) ((List<?>) guide.state(now).get("pools")).get(p);
+    }
+
+    @Test
+    void furtherSetupsAreAPartOfFirstOnesAndFirstOnesAreNeverHeldBack() {
+        charter.retryShare = 0.25;
+        charter.retryLeast = 0;
+        start();
+        int again = 0;
+        for (int i = 0; i < 400; i++) {
+            long id = taken(0);
+            assertEquals(Why.OPEN, why(id, 0));
+            guide.setup(id, name(0, 0), now);
+            guide.ended(id, Outcome.RESET, true, now);
+            if (why(id, 0) == Why.OPEN) {
+                guide.setup(id, name(0, 1), now);
+                again++;
+            } else {
+                assertFalse(guide.widen(id, now));
+            }
+            guide.over(id);
+        }
+        assertEquals(110, again, 2);
+        assertEquals(1, log.stream().filter(l -> l.startsWith("further setups spent")).count());
+        assertTrue(counted.contains("retries_refused"));
+    }
+
+    @Test
+    void aRoomThatProvedFalseBeforeComesLastUntilItIsCalm() {
+        start();
+        for (int i = 0; i < 2; i++) {
+            silent(0);
+            pass(1);
+            report(0, 0);
+            pass(1);
+        }
+        assertEquals(Pool.Condition.RETURNING, guide.condition(0));
+        long id = taken(0);
+        assertEquals(Why.LATER_TURN, why(id, 0));
+        assertEquals(Why.OPEN, why(id, 2));
+        while (guide.widen(id, now)) {
+            continue;
+        }
+        assertEquals(Why.OPEN, why(id, 0));
+        pass(20);
+        assertEquals(Why.OPEN, why(taken(0), 0));
+    }
+
+    // ---- The way back
+
+    private List<Long> home(double seconds) {
+        List<Long> sent = new ArrayList<>();
+        for (double end = now + seconds; now < end - 1e-9; now += 0.25) {
+            List<Long> leave = guide.tick(now);
+            leave.forEach(guide::over);
+            sent.addAll(leave);
+        }
+        return sent;
+    }
+
+    private void away(int profile, int many) {
+        silent(0);
+        pass(1);
+        for (int i = 0; i < many; i++) {
+            long id = taken(profile);
+            guide.setup(id, name(1 + i % 2, i / 2 % EACH), now);
+            guide.opened(id, now);
+        }
+    }
+
+    @Test
+    void guestsGoHomeAsFastAsAWarmRoomIsStatedToBearAndAColdOneBears() {
+        charter.returnShare = 0.02;
+        charter.returnWarm = 0.08;
+        charter.stay = 1;
+        start();
+        away(0, 40);
+        report(0, 0.1);
+        // The calm first, then eight mean loads a second: only silence was seen, nobody restarted.
+        assertEquals(List.of(), home(3.5));
+        assertEquals(8 * 2, home(2.5).size(), 6);
+        charter.returnShare = 0.02;
+        start();
+        away(0, 40);
+        report(0, 0);
+        guide.list(List.of(server(0, 0, Listed.State.RUNNING, now), server(0, 1, Listed.State.RUNNING, now)), false, now);
+        home(4);
+        // Two cold servers bear at most two a second, and less while they are coldest.
+        assertEquals(4, home(2.5).size(), 2);
+    }
+
+    @Test
+    void noneGoesWhileHomeIsDarkLoadedOrNotBelievedNorBeforeItsStayNorIfSpared() {
+        charter.returnShare = 0.1;
+        charter.returnWarm = 0.1;
+        charter.stay = 30;
+        charter.spared = new boolean[] {false, true};
+        start();
+        away(0, 6);
+        away(1, 6);
+        assertEquals(List.of(), home(10));
+        report(0, 0.1);
+        assertEquals(List.of(), home(10));
+        report(0, 0.75);
+        assertEquals(List.of(), home(20));
+        report(0, 0.1);
+        assertEquals(6, home(5).size());
+    }
+
+    @Test
+    void whoWasSentHomeBeforeStaysTwiceAsLongTheNextTime() {
+        WayBack back = new WayBack(0);
+        List<WayBack.Guest> guest = List.of(new WayBack.Guest(1, "k", 1, 1, 0, false));
+        assertEquals(List.of(1L), back.leave(guest, 5, 10, 5));
+        assertEquals(List.of(), back.leave(guest, 5, 10, 9));
+        assertEquals(List.of(1L), back.leave(guest, 5, 10, 10));
+    }
+
+    @Test
+    void aProfileInItsRushIsSparedAndNoLongerAfterIt() {
+        charter.returnShare = 0.1;
+        charter.returnWarm = 0.1;
+        charter.stay = 1;
+        charter.sparedInRush = new boolean[] {false, true};
+        start();
+        for (int i = 0; i < 300; i++) {
+            guide.over(taken(1));
+            pass(0.25);
+        }
+        away(1, 6);
+        report(0, 0.1);
+        for (int i = 0; i < 400; i++) {
+            guide.over(taken(1));
+            now += 0.02;
+            assertEquals(List.of(), guide.tick(now));
+        }
+        assertEquals(6, home(30).size());
+    }
+
+    // ---- Reload
+
+    @Test
+    void aReloadInMidSpillLetsNothingNewInUntilGuestsHaveLeft() {
+        start();
+        assertEquals(10, fill(2, 0));
+        Charter anew = charter();
+        anew.share = 0.1;
+        assertTrue(guide.change(anew));
+        for (long id = 1; id <= 5; id++) {
+            assertEquals(Why.GUESTS_FULL, refused(2, 0));
+            guide.over(id);
+        }
+        assertEquals(Why.GUESTS_FULL, refused(2, 0));
+        guide.over(6);
+        assertEquals(Why.OPEN, refused(2, 0));
+        Charter other = charter();
+        other.pools = List.of("west", "east");
+        assertFalse(guide.change(other));
+    }
+
+    @Test
+    void aTunnelThatIsOverLeavesNothingBehind() {
+        start();
+        fill(2, 0);
+        long id = taken(0);
+        guide.setup(id, name(1, 0), now);
+        guide.over(id);
+        for (long g = 1; g <= ids; g++) {
+            guide.over(g);
+        }
+        pass(1);
+        assertEquals(0, guide.tunnels());
+        assertEquals(0, guide.guests(1) + guide.guests(2));
+        assertTrue(log.stream().anyMatch(l -> l.startsWith("spill to north is over")), log.toString());
+    }
+}
