--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -412,7 +412,7 @@
             // The chance that no sibling holds the group at the server of this rank in the zone.
             double alone = Math.min(1, strangers + 0.35 * rank);
             double f = holds ? 0 : GROUP_PULL * GROUP_COST * alone / capacity(s);
-            if (f > FULL || isFull(s) || barred.get(s) || !lawful(tun, s) || !front.may(tun, ep[s])) {
+            if (f > FULL || isFull(s) || barred.get(s) || !lawful(tun, s)) {
                 continue;
             }
             f += crowd(s);
@@ -421,11 +421,14 @@
             }
             f += (units + (holds ? 0 : GROUP_COST)) / capacity(s)
                     + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
+            if (f >= low + 1e-9 || !front.may(tun, s, ep[s])) {
+                continue;
+            }
             if (f < low - 1e-9) {
                 low = f;
                 best = s;
                 ties = 1;
-            } else if (f < low + 1e-9 && random.nextInt(++ties) == 0) {
+            } else if (random.nextInt(++ties) == 0) {
                 best = s;
             }
         }
--- a/core/src/main/java/asterpulley/Front.java
+++ b/core/src/main/java/asterpulley/Front.java
@@ -29,8 +29,11 @@
     /** Calls {@link Balance#woke} after so many seconds. */
     void wake(double after, long token);
 
-    /** True where this tunnel may go to this server now: what narrows the choice, such as routes, is asked here. */
-    default boolean may(Balance.Tunnel tun, String ep) {
+    /**
+     * True where this tunnel may go to this server now: what narrows the choice, such as routes, is asked here, often;
+     * {@code server}: a small number that stands for its name as long as this module lives.
+     */
+    default boolean may(Balance.Tunnel tun, int server, String ep) {
         return true;
     }
 
--- a/files/src/main/java/asterpulley/files/PoolsFile.java
+++ b/files/src/main/java/asterpulley/files/PoolsFile.java
@@ -51,12 +51,13 @@
         told.put("share", spill.number("share", 0.2, 0, 1));
         told.put("rate_per_s", spill.number("rate_per_s", 0, 0, MANY));
         told.put("holds", spill.number("holds", holds, 1, MANY));
-        told.put("below", spill.number("below", 0.7, 0.01, 10));
+        told.put("below", spill.number("below", 0.75, 0.01, 10));
         told.put("guests_kept", kept(spill.part("keep"), profiles, 1));
         told.put("kept", kept(root.part("keep"), profiles, 0.7));
         if (root.has("retries")) {
-            told.put("retry_share", root.part("retries").number("share", 0.2, 0, 100));
-            told.put("retry_least_per_s", root.part("retries").number("least_per_s", 1, 0, MANY));
+            Part retries = root.part("retries");
+            told.put("retry_share", retries.number("share", 0.2, 0, 100));
+            told.put("retry_least_per_s", retries.number("least_per_s", 1, 0, MANY));
         }
         if (root.has("return")) {
             double share = back.number("share_per_s", 0.02, 0, 1);
--- a/lab/src/main/java/asterpulley/lab/model/Host.java
+++ b/lab/src/main/java/asterpulley/lab/model/Host.java
@@ -13,7 +13,7 @@
     void move(long id);
 
     /** True where this tunnel may go to that server now; and whether more is open to it from now on. */
-    boolean may(long id, String server);
+    boolean may(long id, int number, String server);
 
     boolean widen(long id);
 
--- a/lab/src/main/java/asterpulley/lab/model/ModuleBrain.java
+++ b/lab/src/main/java/asterpulley/lab/model/ModuleBrain.java
@@ -40,8 +40,8 @@
             }
 
             @Override
-            public boolean may(Balance.Tunnel tun, String ep) {
-                return host.may(tun.id, ep);
+            public boolean may(Balance.Tunnel tun, int server, String ep) {
+                return host.may(tun.id, server, ep);
             }
 
             @Override
--- a/lab/src/main/java/asterpulley/lab/model/RelayHost.java
+++ b/lab/src/main/java/asterpulley/lab/model/RelayHost.java
@@ -91,13 +91,13 @@
     /** What its operators say of pools has changed. */
     void reload() {
         if (guide != null && !dead) {
-            guide.change(plan.charter(world.roomOfRelay(number)));
+            guide.change(plan.charter(world.roomOfRelay(number)), now());
         }
     }
 
     @Override
-    public boolean may(long id, String name) {
-        return guide == null || guide.may(id, name, now());
+    public boolean may(long id, int server, String name) {
+        return guide == null || guide.may(id, server, name, now());
     }
 
     @Override
--- a/lab/src/main/java/asterpulley/lab/report/Tables.java
+++ b/lab/src/main/java/asterpulley/lab/report/Tables.java
@@ -11,7 +11,7 @@
             "tries.declined", "tries.errors", "moves", "setups_per_opened", "servers.worst_factor", "rules.broken");
 
     /** Where rooms are more than one. */
-    private static final List<String> OF_ROOMS = List.of("spill.worst_share", "spill.over_most", "spill.over_s", "spill.home_s");
+    private static final List<String> OF_ROOMS = List.of("credit.net", "spill.worst_share", "spill.over_most", "spill.over_s", "spill.home_s");
 
     private Tables() {
     }
--- a/lab/src/main/java/asterpulley/lab/world/Figures.java
+++ b/lab/src/main/java/asterpulley/lab/world/Figures.java
@@ -20,7 +20,7 @@
             "clients.cut_by_relay", "clients.left_before_answer", "tries.taken", "tries.opened", "tries.declined", "tries.errors",
             "tries.lost_with_relay", "tries.unreached", "tries.broken", "moves", "setups", "setups.full", "setups.errors",
             "setups.unanswered", "probes", "servers.fell");
-    private static final List<String> OTHERS = List.of("credit.share", "rules.broken", "servers.worst_factor",
+    private static final List<String> OTHERS = List.of("credit.share", "credit.net", "rules.broken", "servers.worst_factor",
             "servers.mean_worst_factor", "setups_per_opened", "moves_per_client_min", "run.late_share", "relays.rss_mb",
             "relays.cpu_us_per_setup", "spill.worst_share", "spill.over_most", "spill.over_s", "spill.home_s");
     /** One row a second. */
@@ -55,6 +55,9 @@
                 return true;
             }
         }
+        if (figure.startsWith("credit.room.")) {
+            return plan.rooms.contains(figure.substring("credit.room.".length()));
+        }
         for (String t : TIMES) {
             if (figure.matches(t + "\\.(p50|p90|p99|max)_ms")) {
                 return true;
--- a/lab/src/main/java/asterpulley/lab/world/World.java
+++ b/lab/src/main/java/asterpulley/lab/world/World.java
@@ -56,11 +56,13 @@
     private int relayCuts;
     private final List<Setup> unheard = new ArrayList<>();
     private double wanted, served;
-    private final double[] wantedBy, servedBy;
+    /** Of a tunnel's second, over the profiles. */
+    private final double meanCredit;
+    private final double[] wantedBy, servedBy, wantedIn, servedIn;
     private int standing, present;
     private final long[] lastCounts = new long[5];
     private long lastCut;
-    private double worstSpill, worstOver, overFor, longestOver, guestsNow;
+    private double guestSeconds, worstSpill, worstOver, overFor, longestOver, guestsNow;
     /** By profile: tries that were opened, and all that were answered, in the window that runs; the worst so far. */
     private final int[] openedNow, answeredNow;
     private final long[] declinedOf;
@@ -103,6 +105,10 @@
         declinedOf = new long[plan.profiles.size()];
         worstOpened = new double[plan.profiles.size()];
         java.util.Arrays.fill(worstOpened, 1);
+        meanCredit = plan.profiles.stream().mapToDouble(p -> p.credit * p.share).sum()
+                / plan.profiles.stream().mapToDouble(p -> p.share).sum();
+        wantedIn = new double[plan.rooms.size()];
+        servedIn = new double[plan.rooms.size()];
         wantedBy = new double[plan.profiles.size()];
         servedBy = new double[plan.profiles.size()];
         List<Client.Born> born = Load.draw(plan);
@@ -403,6 +409,7 @@
         c.served += sound;
         served += credit;
         servedBy[c.born.profile()] += credit;
+        servedIn[c.born.room()] += credit;
     }
 
     /** A client's life is over: it leaves, wherever it is. */
@@ -442,6 +449,7 @@
         double credit = plan.profiles.get(c.born.profile()).credit * seconds;
         wanted += credit;
         wantedBy[c.born.profile()] += credit;
+        wantedIn[c.born.room()] += credit;
     }
 
     /** A part of the clients loses its connections, a few at a time but soon all, and each comes back within a time. */
@@ -482,10 +490,14 @@
                 want(c, Math.min(c.born.lifetime(), now - c.born.at()));
             }
         }
+        figures.set("credit.net", wanted > 0 ? (served - plan.crossingFee * guestSeconds) / wanted : 1);
         figures.set("credit.share", wanted > 0 ? served / wanted : 1);
         for (int p = 0; p < wantedBy.length; p++) {
             figures.set("credit.share." + plan.profiles.get(p).name, wantedBy[p] > 0 ? servedBy[p] / wantedBy[p] : 1);
         }
+        for (int r = 0; r < wantedIn.length; r++) {
+            figures.set("credit.room." + plan.rooms.get(r), wantedIn[r] > 0 ? servedIn[r] / wantedIn[r] : 1);
+        }
         for (int p = 0; p < worstOpened.length; p++) {
             figures.set("opened.worst." + plan.profiles.get(p).name, worstOpened[p]);
             figures.set("declined." + plan.profiles.get(p).name, declinedOf[p]);
@@ -770,6 +782,7 @@
         double over = 0;
         guestsNow = 0;
         for (int r = 0; r < guests.length; r++) {
+            guestSeconds += guests[r] * TICK * meanCredit;
             guestsNow += guests[r];
             double part = holds[r] > 0 ? guests[r] / holds[r] : 0;
             worstSpill = Math.max(worstSpill, part);
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -234,8 +234,8 @@
     }
 
     @Override
-    public boolean may(Balance.Tunnel tun, String ep) {
-        return guide == null || guide.may(tun.id, ep, loop.now());
+    public boolean may(Balance.Tunnel tun, int server, String ep) {
+        return guide == null || guide.may(tun.id, server, ep, loop.now());
     }
 
     @Override
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -156,7 +156,7 @@
                 + (config.needsStart(anew) ? "; changes of name, listen and settings wait for a restart" : ""));
         book.count("configurations");
         if (anew.tellsOfPools() != (route.guide() != null)
-                || anew.tellsOfPools() && !route.guide().change(anew.charter())) {
+                || anew.tellsOfPools() && !route.guide().change(anew.charter(), loop.now())) {
             LOG.warning("pools wait for a restart: whether they are told, their names and this relay's own count from a start");
         }
         config = anew;
--- a/routes/src/main/java/asterpulley/routes/Charter.java
+++ b/routes/src/main/java/asterpulley/routes/Charter.java
@@ -28,7 +28,7 @@
     /** Guests: the part of a pool's room, new ones a second (0: no bound), mean loads a server holds. */
     public double share = 0.2, rate, holds = 60;
     /** Guests go only to servers whose load is below this. */
-    public double guestsBelow = 0.7;
+    public double guestsBelow = 0.75;
     /** By profile: the part of the guests' room that is kept for it. */
     public double[] guestsKept = {};
 
@@ -56,11 +56,11 @@
         return profile < guestsKept.length ? guestsKept[profile] : 0;
     }
 
-    /** Up to which load of a server this profile may go there: what those of more credit are promised is left. */
-    public double ceiling(int profile) {
-        double left = full;
+    /** What this profile has to leave of every server to those of more credit. */
+    double keptFromBelow(int profile) {
+        double left = 0;
         for (int q = 0; q < kept.length; q++) {
-            left -= q != profile && credit(q) > credit(profile) ? kept[q] : 0;
+            left += q != profile && credit(q) > credit(profile) ? kept[q] : 0;
         }
         return left;
     }
--- a/routes/src/main/java/asterpulley/routes/Guide.java
+++ b/routes/src/main/java/asterpulley/routes/Guide.java
@@ -20,7 +20,7 @@
  */
 public final class Guide {
     /** Reports that make up a mean, at most. */
-    private static final double MEAN_OF = 50;
+    private static final double MEAN_OF = 1000;
 
     /** A tunnel from its opening to its end. */
     private static final class Tun {
@@ -40,8 +40,13 @@
     private final WayBack wayBack;
     private final Consumer<String> log, count;
     private final Map<String, Integer> index = new HashMap<>();
+    /** Servers by the number that the module has for them; -1: not asked for yet. */
+    private int[] byNumber = {};
     private final List<String> names = new ArrayList<>();
     private final Map<Long, Tun> tunnels = new HashMap<>();
+    /** The tunnel last found. */
+    private Tun asked;
+    private long askedId;
     private final Set<Long> guests = new LinkedHashSet<>();
     private final boolean[] spilling;
     private boolean returning, spent;
@@ -61,11 +66,11 @@
     }
 
     /** A reload: false, and nothing is changed, where only a new start can bring that charter. */
-    public boolean change(Charter anew) {
+    public boolean change(Charter anew, double now) {
         if (routes.charter().needsStart(anew)) {
             return false;
         }
-        routes.change(anew);
+        routes.change(anew, now);
         return true;
     }
 
@@ -109,8 +114,14 @@
     // ---- Tunnels
 
     public void taken(long id, int profile, String key, double now) {
-        tunnels.put(id, new Tun(profile, key));
-        rush(profile, now).comes(now);
+        Tun tun = new Tun(profile, key);
+        tun.turn = routes.first(profile, units(profile), now);
+        tunnels.put(id, tun);
+        asked = tun;
+        askedId = id;
+        if (any(routes.charter().sparedInRush)) {
+            rush(profile, now).comes(now);
+        }
     }
 
     /** A tunnel that stood there before this relay started: it counts as any other that stands. */
@@ -125,6 +136,15 @@
         }
     }
 
+    private static boolean any(boolean[] of) {
+        for (boolean one : of) {
+            if (one) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private Rush rush(int profile, double now) {
         if (profile >= rushes.length) {
             int from = rushes.length;
@@ -136,21 +156,41 @@
         return rushes[profile];
     }
 
-    /** What the module asks: whether this tunnel may go to that server now. */
-    public boolean may(long id, String server, double now) {
-        return why(id, server, now) == Why.OPEN;
+    /** What the module asks: whether this tunnel may go to that server now; {@code number}: the module's own for it. */
+    public boolean may(long id, int number, String server, double now) {
+        if (number >= byNumber.length) {
+            int from = byNumber.length;
+            byNumber = Arrays.copyOf(byNumber, Math.max(number + 1, 2 * from));
+            Arrays.fill(byNumber, from, byNumber.length, -1);
+        }
+        if (byNumber[number] < 0) {
+            byNumber[number] = index.getOrDefault(server, -1);
+        }
+        return why(id, byNumber[number], now) == Why.OPEN;
     }
 
     public Why why(long id, String server, double now) {
-        Tun tun = tunnels.get(id);
-        Integer s = index.get(server);
-        return tun == null ? Why.OPEN : s == null ? Why.UNKNOWN
+        return why(id, index.getOrDefault(server, -1), now);
+    }
+
+    /** Most of what is told of a tunnel comes right after the last. */
+    private Tun find(long id) {
+        if (asked == null || askedId != id) {
+            asked = tunnels.get(id);
+            askedId = id;
+        }
+        return asked;
+    }
+
+    private Why why(long id, int s, double now) {
+        Tun tun = find(id);
+        return tun == null ? Why.OPEN : s < 0 ? Why.UNKNOWN
                 : routes.why(id, s, tun.profile, units(tun.profile), tun.turn, tun.setups > 0, now);
     }
 
     /** What the module asks where it found nobody: whether more is open now than was. */
     public boolean widen(long id, double now) {
-        Tun tun = tunnels.get(id);
+        Tun tun = find(id);
         int next = tun == null ? -1 : routes.wider(tun.turn, tun.profile, units(tun.profile), tun.setups > 0, now);
         if (tun != null && tun.setups > 0) {
             retriesNoted(now);
@@ -175,7 +215,7 @@
     }
 
     public void setup(long id, String server, double now) {
-        Tun tun = tunnels.get(id);
+        Tun tun = find(id);
         Integer s = index.get(server);
         if (tun == null || s == null) {
             return;
@@ -196,7 +236,7 @@
     }
 
     public void opened(long id, double now) {
-        Tun tun = tunnels.get(id);
+        Tun tun = find(id);
         if (tun != null && tun.server >= 0) {
             tun.stands = true;
             tun.openedAt = now;
@@ -209,7 +249,7 @@
 
     /** A server tells what this tunnel loads it. */
     public void load(long id, double told) {
-        Tun tun = tunnels.get(id);
+        Tun tun = find(id);
         if (tun == null || !(told > 0)) {
             return;
         }
@@ -235,7 +275,7 @@
 
     /** A setup, or what it opened, has ended; {@code told}: that says something of its server. */
     public void ended(long id, Outcome outcome, boolean told, double now) {
-        Tun tun = tunnels.get(id);
+        Tun tun = find(id);
         if (tun == null || tun.server < 0) {
             return;
         }
@@ -256,6 +296,7 @@
     }
 
     private void lets(long id, Tun tun) {
+        routes.leaves(tun.server, tun.units);
         if (tun.guest) {
             routes.guestChanges(routes.poolOf(tun.server), tun.profile, -tun.units);
             guests.remove(id);
@@ -267,6 +308,7 @@
     /** A tunnel is over, however it came to that. */
     public void over(long id) {
         Tun tun = tunnels.remove(id);
+        asked = null;
         if (tun != null && tun.server >= 0) {
             lets(id, tun);
         }
@@ -295,7 +337,7 @@
         }
         List<WayBack.Guest> away = new ArrayList<>();
         for (long id : returning ? guests : Set.<Long>of()) {
-            Tun tun = tunnels.get(id);
+            Tun tun = find(id);
             away.add(new WayBack.Guest(id, tun.key, tun.units, credit(charter, tun.profile), tun.openedAt,
                     spared(charter, tun.profile, now)));
         }
--- a/routes/src/main/java/asterpulley/routes/Pool.java
+++ b/routes/src/main/java/asterpulley/routes/Pool.java
@@ -54,6 +54,11 @@
         return health.dark();
     }
 
+    /** Dark, or back for so short a time that it is cold: its tunnels go elsewhere. */
+    boolean away(double warmUp, double now) {
+        return health.dark() || health.back(warmUp, now);
+    }
+
     boolean doubted() {
         return health.doubted();
     }
--- a/routes/src/main/java/asterpulley/routes/PoolHealth.java
+++ b/routes/src/main/java/asterpulley/routes/PoolHealth.java
@@ -36,6 +36,11 @@
         return state == State.DARK;
     }
 
+    /** Back, and sound for less than that, or not yet. */
+    boolean back(double within, double now) {
+        return state == State.RETURNING || now - soundSince < within;
+    }
+
     /** Since when it is in its state. */
     public double since() {
         return since;
--- a/routes/src/main/java/asterpulley/routes/Routes.java
+++ b/routes/src/main/java/asterpulley/routes/Routes.java
@@ -23,9 +23,9 @@
     private final Consumer<String> log;
     private int[] turns;
 
-    private int[] poolOf = {}, placed = {};
+    private int[] poolOf = {};
     private boolean[] listed = {}, running = {}, silent = {};
-    private double[] load = {}, answeredAt = {}, startedAt = {};
+    private double[] load = {}, placed = {}, answeredAt = {}, startedAt = {};
 
     /** What was found of a pool for the tunnel last asked about: the same for all its servers while nothing changes. */
     private final Why[] verdicts;
@@ -45,11 +45,11 @@
             spill[p] = new SpillLimit(charter, 0, 0, now);
         }
         retries = new RetryBudget(charter.retryShare, charter.retryLeast, now);
-        limits();
+        limits(now);
     }
 
     /** Other figures from now on; what stands stays, and what is above a lower limit leaves by itself. */
-    public void change(Charter anew) {
+    public void change(Charter anew, double now) {
         // The bounds of a pool's darkness count from a new start on: a state is not to be read by two rules.
         anew.health = charter.health;
         charter = anew;
@@ -59,7 +59,7 @@
         }
         retries.change(anew.retryShare, anew.retryLeast);
         turns = anew.turns(pools[anew.home].doubted());
-        limits();
+        limits(now);
     }
 
     // ---- What is told
@@ -80,7 +80,7 @@
         running[server] = there && runs;
         count(server, 1);
         judge(pool, now);
-        limits();
+        limits(now);
     }
 
     private void grow(int m) {
@@ -121,9 +121,9 @@
             count(server, -1);
             silent[server] = nothing;
             count(server, 1);
-            limits();
+            limits(now);
+            judge(poolOf[server], now);
         }
-        judge(poolOf[server], now);
     }
 
     /** Its load report: load over what it can do now. */
@@ -159,7 +159,7 @@
                     + pool.running + ", mean load " + Math.round(pool.meanLoad() * 100) / 100.0 + ", guests "
                     + Math.round(spill[p].guests()));
             turns = charter.turns(pools[charter.home].doubted());
-            limits();
+            limits(now);
         }
     }
 
@@ -168,30 +168,31 @@
         for (int p = 0; p < pools.length; p++) {
             judge(p, now);
         }
+        limits(now);
     }
 
     /**
      * This relay's part of every pool's limit. Relays share nothing, so each takes its part of what all are given by what
-     * it sees itself: while rooms are dark nearly all of it is for the relays at home in those.
+     * it sees itself: while rooms are dark, or back and cold, nearly all of it is for the relays at home in those.
      */
-    private void limits() {
-        int dark = 0;
+    private void limits(double now) {
+        int away = 0;
         for (Pool pool : pools) {
-            dark += pool.dark() ? 1 : 0;
+            away += pool.away(charter.warmUp, now) ? 1 : 0;
         }
         for (int p = 0; p < pools.length; p++) {
             if (p == charter.home) {
                 continue;
             }
             int others = pools.length - 1;
-            int darkOthers = dark - (pools[p].dark() ? 1 : 0);
+            int awayOthers = away - (pools[p].away(charter.warmUp, now) ? 1 : 0);
             double part;
-            if (darkOthers == 0) {
+            if (awayOthers == 0) {
                 part = 1.0 / others;
-            } else if (pools[charter.home].dark()) {
-                part = (darkOthers == others ? 1 : 1 - SOUND_PART) / darkOthers;
+            } else if (pools[charter.home].away(charter.warmUp, now)) {
+                part = (awayOthers == others ? 1 : 1 - SOUND_PART) / awayOthers;
             } else {
-                part = SOUND_PART / (others - darkOthers);
+                part = SOUND_PART / (others - awayOthers);
             }
             part /= charter.relaysPerPool;
             spill[p].limits(charter.share * charter.holds * pools[p].heard() * part, charter.rate * part);
@@ -221,15 +222,24 @@
         if (verdict != Why.OPEN) {
             return verdict;
         }
-        if (p == charter.home) {
-            // What of a dark home has answered since is open: some of it lives.
-            if (pools[p].dark() && !(answeredAt[server] > pools[p].since())) {
-                return Why.POOL_DARK;
-            }
-        } else if (estimate(server, now) >= charter.guestsBelow) {
+        if (p == charter.home && lost(server)) {
+            return Why.POOL_DARK;
+        }
+        if (p == charter.home && charter.kept.length == 0) {
+            return Why.OPEN;
+        }
+        double load = estimate(server, now);
+        // Guests stop lower than whoever is at home, and those of less credit lower still.
+        if (p != charter.home && load >= charter.guestsBelow - charter.keptFromBelow(profile)) {
             return Why.NEAR_FULL;
         }
-        return charter.kept.length > 0 && estimate(server, now) >= charter.ceiling(profile) ? Why.KEPT : Why.OPEN;
+        return charter.kept.length > 0 && load >= charter.full - charter.keptFromBelow(profile) ? Why.KEPT : Why.OPEN;
+    }
+
+    /** Of a dark pool, and not heard since it is: what has answered since is open, for some of it lives. */
+    private boolean lost(int server) {
+        Pool pool = pools[poolOf[server]];
+        return pool.dark() && !(answeredAt[server] > pool.since());
     }
 
     private Why pool(int p, int profile, double units, double now) {
@@ -244,10 +254,10 @@
         };
     }
 
-    /** Reported load and a step for each own placement since; nothing known counts as empty, as the module takes it. */
+    /** Reported load and a step for what came and went since; nothing known counts as empty, as the module takes it. */
     private double estimate(int server, double now) {
         double known = Double.isNaN(load[server]) ? 0 : load[server];
-        return known + placed[server] / (charter.holds * warmth(server, now));
+        return Math.max(0, known + placed[server] / (charter.holds * warmth(server, now)));
     }
 
     private double warmth(int server, double now) {
@@ -270,12 +280,18 @@
         return next == Integer.MAX_VALUE ? -1 : next;
     }
 
+    /** The turn that a new tunnel begins with: while home is dark there is nothing to look for in its own. */
+    public int first(int profile, double units, double now) {
+        int next = pools[charter.home].dark() ? wider(0, profile, units, false, now) : 0;
+        return Math.max(0, next);
+    }
+
     // ---- What goes on
 
     /** A setup goes out to that server; true where its tunnel is a guest there. */
     public boolean comes(int server, int profile, double units, boolean further, double now) {
         retries.goes(further, now);
-        placed[server]++;
+        placed[server] += units;
         verdictOf = Long.MIN_VALUE;
         if (poolOf[server] != charter.home) {
             spill[poolOf[server]].spends(now);
@@ -292,6 +308,12 @@
         return guest;
     }
 
+    /** A setup there has ended, or what it opened. */
+    void leaves(int server, double units) {
+        placed[server] -= units;
+        verdictOf = Long.MIN_VALUE;
+    }
+
     /** A guest's load is another than was taken; {@code by} below 0 also where it leaves. */
     public void guestChanges(int pool, int profile, double by) {
         spill[pool].changes(profile, by);
@@ -347,7 +369,7 @@
     }
 
     /** A server as this relay sees it; times in seconds ago, without end where never. */
-    record Known(int pool, boolean listed, boolean running, boolean silent, double load, int placed, double age,
+    record Known(int pool, boolean listed, boolean running, boolean silent, double load, double placed, double age,
             double answered) {
     }
 }
--- a/routes/src/test/java/asterpulley/routes/GuideTest.java
+++ b/routes/src/test/java/asterpulley/routes/GuideTest.java
@@ -402,7 +402,7 @@
         assertEquals(10, fill(2, 0));
         Charter anew = charter();
         anew.share = 0.1;
-        assertTrue(guide.change(anew));
+        assertTrue(guide.change(anew, now));
         for (long id = 1; id <= 5; id++) {
             assertEquals(Why.GUESTS_FULL, refused(2, 0));
             guide.over(id);
@@ -412,7 +412,7 @@
         assertEquals(Why.OPEN, refused(2, 0));
         Charter other = charter();
         other.pools = List.of("west", "east");
-        assertFalse(guide.change(other));
+        assertFalse(guide.change(other, now));
     }
 
     @Test
