--- a/cli/src/main/java/asterpulley/cli/Main.java
+++ b/cli/src/main/java/asterpulley/cli/Main.java
@@ -18,7 +18,7 @@
  */
 @Command(name = "asterpulley", mixinStandardHelpOptions = true, version = "asterpulley 0.2.0",
         description = "A balancer for long-lived connections, and what is needed to run and try it.",
-        subcommands = {ServeCommand.class, Main.DrillCommand.class, CheckCommand.class, LabCommand.class,
+        subcommands = {ServeCommand.class, Main.DrillCommand.class, CheckCommand.class, LabCommand.class, RoutesCommand.class,
             Main.CompletionCommand.class},
         exitCodeListHeading = "%nExit status:%n",
         exitCodeList = {"0:done", "1:bad configuration or input", "2:bad usage", "3:an expectation fell short"})
--- a/decode/src/main/java/asterpulley/decode/Json.java
+++ b/decode/src/main/java/asterpulley/decode/Json.java
@@ -1,14 +1,18 @@
 package asterpulley.decode;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-/** JSON values read into plain maps and lists, and their fields taken with a plain message for what is malformed. */
+/** JSON values read into plain maps and lists and written back, and their fields taken with a plain message for what is malformed. */
 public final class Json {
     /** The input breaks the wire's form. */
     public static final class Malformed extends RuntimeException {
@@ -111,6 +115,44 @@
         return in.get(name) == null ? Map.of() : object(in.get(name), name);
     }
 
+    /** Writes maps, lists, texts, numbers and flags on one line. */
+    public static String text(Object value) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
+            write(value, out);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
+    private static void write(Object value, JsonGenerator out) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> e : map.entrySet()) {
+                out.writeFieldName(String.valueOf(e.getKey()));
+                write(e.getValue(), out);
+            }
+            out.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            out.writeStartArray();
+            for (Object o : list) {
+                write(o, out);
+            }
+            out.writeEndArray();
+        } else if (value instanceof Integer || value instanceof Long) {
+            out.writeNumber(((Number) value).longValue());
+        } else if (value instanceof Number n) {
+            out.writeNumber(n.doubleValue());
+        } else if (value instanceof Boolean b) {
+            out.writeBoolean(b);
+        } else if (value == null) {
+            out.writeNull();
+        } else {
+            out.writeString(String.valueOf(value));
+        }
+    }
+
     private static JsonToken expect(JsonToken token) {
         if (token == null) {
             throw new Malformed("the input ends inside a value");
--- /dev/null
+++ b/lab/src/test/java/asterpulley/lab/model/ExperimentsTest.java
@@ -0,0 +1,75 @@
+package asterpulley.lab.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import asterpulley.files.Sheet;
+import asterpulley.lab.plan.Plan;
+import asterpulley.lab.plan.PlanReader;
+import asterpulley.lab.report.Outcome;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/** The experiments of a lost room hold in virtual time, but for the large ones; and what they hold by is what holds them. */
+class ExperimentsTest {
+    private static final Path ROOMS = Path.of("..", "experiments", "rooms");
+    private static final int SMALL = 100;
+
+    private static Plan plan(Path file) throws IOException {
+        Sheet sheet = Sheet.read(file);
+        Plan plan = PlanReader.read(sheet, file.getFileName().toString());
+        assertEquals(List.of(), sheet.problems());
+        return plan;
+    }
+
+    private static Outcome play(Plan plan) {
+        return new Outcome("model", Model.MODULE, new Model(plan, Model.MODULE).play(), null);
+    }
+
+    @TestFactory
+    Stream<DynamicTest> eachHoldsAsItSays() throws IOException {
+        return Files.list(ROOMS).sorted().map(file -> DynamicTest.dynamicTest(file.getFileName().toString(), () -> {
+            Plan plan = plan(file);
+            if (plan.allServers() > SMALL) {
+                return;
+            }
+            Outcome o = play(plan);
+            for (Plan.Expect e : plan.expects) {
+                assertTrue(o.holds(e), e + " is " + o.figure(e.figure()));
+            }
+            assertTrue(plan.expects.size() > 2 && o.notes.isEmpty(), o.notes.toString());
+        }));
+    }
+
+    private static double without(String experiment, String figure, Object... keysAndValues) throws IOException {
+        Plan plan = plan(ROOMS.resolve(experiment));
+        for (int i = 0; i < keysAndValues.length; i += 2) {
+            plan.routes.put((String) keysAndValues[i], keysAndValues[i + 1]);
+        }
+        return play(plan).figure(figure);
+    }
+
+    private static double with(String experiment, String figure) throws IOException {
+        return play(plan(ROOMS.resolve(experiment))).figure(figure);
+    }
+
+    @Test
+    void whatEachLimitIsForFailsWithoutIt() throws IOException {
+        assertTrue(without("near-full.toml", "spill.worst_share", "share", 1.0, "below", 10.0, "guests_kept", Map.of(), "kept",
+                Map.of()) > 0.35);
+        assertTrue(with("near-full.toml", "spill.worst_share") < 0.33);
+        assertTrue(without("cold-return.toml", "spill.home_s", "return_share_per_s", null) > 35);
+        assertTrue(with("cold-return.toml", "spill.home_s") < 30);
+        double storm = with("near-full.toml", "credit.share.storm");
+        assertTrue(without("near-full.toml", "credit.share.storm", "guests_kept", Map.of(), "kept", Map.of()) < storm - 0.01);
+        assertTrue(without("comes-and-goes.toml", "servers.worst_factor", "below", 10.0) > 0.8);
+        assertTrue(with("comes-and-goes.toml", "servers.worst_factor") < 0.8);
+    }
+}
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -64,6 +64,8 @@
     /** They are served as long as that leaves room, but moved so much before the last moment. */
     private static final double MOVED_BEFORE = 0.4;
     private static final double MOVES_STEP = 0.05;
+    /** Before what a relay knows of its pools, in its log. */
+    public static final String ROUTES = "routes ";
 
     private Config config;
     private final Loop loop = new Loop();
@@ -207,7 +209,7 @@
             Serve serve = new Serve(config);
             Signal.handle(new Signal("TERM"), s -> serve.end());
             Signal.handle(new Signal("HUP"), s -> serve.reload(source));
-            Signal.handle(new Signal("USR1"), s -> serve.counted(book -> LOG.info(book.toString())));
+            Signal.handle(new Signal("USR1"), s -> serve.counted(serve::tellAll));
             serve.open();
             LOG.info("serving " + config.name + " at " + text(serve.address()) + ", backends known "
                     + config.known.servers().size() + ", sockets " + config.sockets);
@@ -225,6 +227,13 @@
         return (InetSocketAddress) listener.getLocalAddress();
     }
 
+    private void tellAll(Book counts) {
+        LOG.info(counts.toString());
+        if (route.guide() != null) {
+            LOG.info(ROUTES + Json.text(route.guide().state(loop.now())));
+        }
+    }
+
     /** What was counted so far, read on the loop's own thread. */
     void counted(Consumer<Book> reader) {
         loop.handIn(() -> reader.accept(book));
--- a/routes/src/main/java/asterpulley/routes/Guide.java
+++ b/routes/src/main/java/asterpulley/routes/Guide.java
@@ -369,7 +369,7 @@
         return tunnels.size();
     }
 
-    /** What this relay knows of pools and servers, for whoever explains a choice: plain values, times in seconds ago. */
+    /** What this relay knows of pools and servers: plain values, times in seconds ago; {@link #restore} reads it. */
     public Map<String, Object> state(double now) {
         Charter charter = routes.charter();
         Map<String, Object> state = new LinkedHashMap<>();
@@ -381,11 +381,17 @@
             one.put("name", charter.pools.get(p));
             one.put("condition", pool.condition().name().toLowerCase());
             one.put("since_s", finite(now - pool.since()));
+            one.put("calm_s", pool.calm());
             one.put("running", pool.running);
             one.put("silent", pool.quiet);
             one.put("mean_load", finite(pool.meanLoad()));
-            one.put("guests", routes.spill(p).guests());
+            one.put("turn", routes.turn(p));
             one.put("guests_most", routes.spill(p).most());
+            List<Object> guestsBy = new ArrayList<>();
+            for (int q = 0; q < charter.guestsKept.length; q++) {
+                guestsBy.add(routes.spill(p).guests(q));
+            }
+            one.put("guests", guestsBy);
             of.add(one);
         }
         state.put("pools", of);
@@ -409,6 +415,54 @@
         return state;
     }
 
+    /** Takes what another relay knew for its own, in a guide that knows nothing yet; the charter must name its pools. */
+    public void restore(Map<String, Object> state, double now) {
+        List<String> pools = routes.charter().pools;
+        List<Listed> listed = new ArrayList<>();
+        for (Map<String, Object> one : tables(state, "servers")) {
+            int p = pools.indexOf(String.valueOf(one.get("pool")));
+            if (p < 0) {
+                throw new IllegalArgumentException("'" + one.get("pool") + "' is a pool of the state and none of the file's");
+            }
+            listed.add(new Listed(String.valueOf(one.get("name")), p, p, 0, switch (String.valueOf(one.get("state"))) {
+                case "up" -> Listed.State.RUNNING;
+                case "draining" -> Listed.State.DRAINING;
+                default -> Listed.State.GONE;
+            }, now - number(one, "age_s", Double.POSITIVE_INFINITY)));
+        }
+        list(listed, true, now);
+        for (Map<String, Object> one : tables(state, "servers")) {
+            routes.restore(index.get(String.valueOf(one.get("name"))), Boolean.TRUE.equals(one.get("silent")),
+                    number(one, "load", Double.NaN), number(one, "placed", 0),
+                    now - number(one, "answered_s", Double.POSITIVE_INFINITY), now);
+        }
+        for (Map<String, Object> one : tables(state, "pools")) {
+            int p = pools.indexOf(String.valueOf(one.get("name")));
+            List<?> by = one.get("guests") instanceof List<?> list ? list : List.of();
+            routes.restore(p, Pool.Condition.valueOf(String.valueOf(one.get("condition")).toUpperCase()),
+                    now - number(one, "since_s", Double.POSITIVE_INFINITY), number(one, "calm_s", 0),
+                    by.stream().mapToDouble(g -> ((Number) g).doubleValue()).toArray(), now);
+        }
+        routes.retries().restore(number(state, "retries_left", 0));
+    }
+
+    /** A tunnel whose setup failed once: what it asks for next is a further one. */
+    public void triedBefore(long id) {
+        find(id).setups++;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static List<Map<String, Object>> tables(Map<String, Object> of, String key) {
+        if (of.get(key) instanceof List<?> list && list.stream().allMatch(Map.class::isInstance)) {
+            return (List<Map<String, Object>>) list;
+        }
+        throw new IllegalArgumentException("the state holds no " + key);
+    }
+
+    private static double number(Map<String, Object> of, String key, double missing) {
+        return of.get(key) instanceof Number n ? n.doubleValue() : missing;
+    }
+
     private static Double finite(double d) {
         return Double.isFinite(d) ? d : null;
     }
--- a/routes/src/main/java/asterpulley/routes/Pool.java
+++ b/routes/src/main/java/asterpulley/routes/Pool.java
@@ -45,6 +45,22 @@
         return condition != was;
     }
 
+    double calm() {
+        return health.calm();
+    }
+
+    /** As another relay's was, by the name of its condition. */
+    void restore(Condition was, double at, double calm) {
+        health.restore(switch (was) {
+            case DARK, CUT_OFF, UNLISTED -> PoolHealth.State.DARK;
+            case RETURNING -> PoolHealth.State.RETURNING;
+            case SUSPECT -> PoolHealth.State.SUSPECT;
+            default -> PoolHealth.State.SOUND;
+        }, at, calm);
+        load.restore(was == Condition.OVERLOADED);
+        condition = was;
+    }
+
     public Condition condition() {
         return condition;
     }
--- a/routes/src/main/java/asterpulley/routes/PoolHealth.java
+++ b/routes/src/main/java/asterpulley/routes/PoolHealth.java
@@ -20,7 +20,7 @@
 
     private final Bounds bounds;
     private State state = State.SOUND;
-    private double since, calm, soundSince = Double.NEGATIVE_INFINITY;
+    private double since = Double.NEGATIVE_INFINITY, calm, soundSince = Double.NEGATIVE_INFINITY;
 
     public PoolHealth(Bounds bounds) {
         this.bounds = bounds;
@@ -95,6 +95,14 @@
         return state != was;
     }
 
+    /** As it was found elsewhere: so long in that state, with that calm. */
+    void restore(State was, double at, double wasCalm) {
+        state = was;
+        since = at;
+        soundSince = was == State.SOUND ? at : Double.NEGATIVE_INFINITY;
+        calm = Math.max(bounds.calm, Math.min(bounds.longestCalm, wasCalm));
+    }
+
     private void to(State next, double now) {
         state = next;
         since = now;
--- a/routes/src/main/java/asterpulley/routes/PoolLoad.java
+++ b/routes/src/main/java/asterpulley/routes/PoolLoad.java
@@ -33,6 +33,10 @@
         return over != was;
     }
 
+    void restore(boolean wasOver) {
+        over = wasOver;
+    }
+
     boolean over() {
         return over;
     }
--- a/routes/src/main/java/asterpulley/routes/RetryBudget.java
+++ b/routes/src/main/java/asterpulley/routes/RetryBudget.java
@@ -43,6 +43,10 @@
         tokens = further ? tokens - 1 : Math.min(saved(), tokens + Math.max(0, share));
     }
 
+    void restore(double left) {
+        tokens = left;
+    }
+
     public double left() {
         return tokens;
     }
--- a/routes/src/main/java/asterpulley/routes/Routes.java
+++ b/routes/src/main/java/asterpulley/routes/Routes.java
@@ -156,7 +156,7 @@
         if (pool.judge(now)) {
             log.accept("pool " + charter.pools.get(p) + " " + was.name().toLowerCase().replace('_', ' ') + " to "
                     + pool.condition().name().toLowerCase().replace('_', ' ') + ", silent " + pool.quiet + " of "
-                    + pool.running + ", mean load " + Math.round(pool.meanLoad() * 100) / 100.0 + ", guests "
+                    + pool.running + ", mean load " + (pool.known == 0 ? "-" : Math.round(pool.meanLoad() * 100) / 100.0) + ", guests "
                     + Math.round(spill[p].guests()));
             turns = charter.turns(pools[charter.home].doubted());
             limits(now);
@@ -362,6 +362,31 @@
         return charter;
     }
 
+    /** Takes a server, listed here already, for what it was found to be; limits count again. */
+    void restore(int server, boolean nothing, double reported, double came, double answered, double now) {
+        count(server, -1);
+        silent[server] = nothing;
+        load[server] = reported;
+        placed[server] = came;
+        answeredAt[server] = answered;
+        count(server, 1);
+        limits(now);
+    }
+
+    void restore(int p, Pool.Condition was, double since, double calm, double[] guests, double now) {
+        pools[p].restore(was, since, calm);
+        for (int q = 0; q < guests.length; q++) {
+            spill[p].changes(q, guests[q]);
+        }
+        turns = charter.turns(pools[charter.home].doubted());
+        limits(now);
+    }
+
+    /** In which turn that pool is open to this relay's tunnels; 0: at once. */
+    public int turn(int p) {
+        return turns[p];
+    }
+
     /** What is known of a server, for whoever prints it. */
     Known known(int server, double now) {
         return new Known(poolOf[server], listed[server], running[server], silent[server], load[server], placed[server],
--- a/routes/src/main/java/asterpulley/routes/SpillLimit.java
+++ b/routes/src/main/java/asterpulley/routes/SpillLimit.java
@@ -68,6 +68,10 @@
         guests = Math.max(0, guests + load);
     }
 
+    double guests(int profile) {
+        return profile < by.length ? by[profile] : 0;
+    }
+
     public double guests() {
         return guests;
     }
