--- a/files/src/main/java/asterpulley/files/PoolsFile.java
+++ b/files/src/main/java/asterpulley/files/PoolsFile.java
@@ -34,6 +34,9 @@
         if (home != null && !names.contains(home)) {
             pools.wrong("home", "'" + home + "' names no pool", null);
         }
+        if (home == null && by.equals("model")) {
+            pools.need("home");
+        }
         told.put("home", home);
         told.put("relays_per_pool", pools.whole("relays_per_pool", Math.max(1, relaysPerPool), 1, 100_000));
         told.put("prefer", prefer(pools.part("prefer"), names));
--- a/routes/src/test/java/asterpulley/routes/GuideTest.java
+++ b/routes/src/test/java/asterpulley/routes/GuideTest.java
@@ -415,6 +415,37 @@
         assertFalse(guide.change(other, now));
     }
 
+    @Test
+    void whatStoodBeforeTheRelayStartedCountsAsAGuestToo() {
+        start();
+        for (long id = 1; id <= 4; id++) {
+            guide.standing(id, 0, "k", name(2, 0), now);
+        }
+        guide.standing(5, 0, "k", name(0, 0), now);
+        assertEquals(4, guide.guests(2));
+        ids = 5;
+        assertEquals(6, fill(2, 0));
+    }
+
+    @Test
+    void aStateIsTakenOverAsItWas() {
+        charter.guestsKept = new double[] {0, 0.4};
+        start();
+        silent(0);
+        pass(1);
+        assertEquals(11, fill(2, 0), 1);
+        report(1, 0.8);
+        Guide other = new Guide(charter, now, log::add, counted::add);
+        other.restore(guide.state(now), now);
+        assertEquals(guide.state(now).get("pools"), other.state(now).get("pools"));
+        assertEquals(guide.state(now).get("servers"), other.state(now).get("servers"));
+        for (int p = 0; p < 3; p++) {
+            long id = taken(0);
+            other.taken(id, 0, null, now);
+            assertEquals(why(id, p), other.why(id, name(p, 0), now));
+        }
+    }
+
     @Test
     void aTunnelThatIsOverLeavesNothingBehind() {
         start();
