One reading of a state's servers, and of what is said twice in routes

Behaviour, bounds and tests as they were.

Measured: the tests of routes, the command line and the rooms' experiments pass.

--- a/cli/src/main/java/asterpulley/cli/RelayFile.java
+++ b/cli/src/main/java/asterpulley/cli/RelayFile.java
@@ -50,7 +50,8 @@
         settings.put("zones", zones);
         settings.put("models", models);
         settings.put("myZone", Math.max(0, zones.indexOf(zone)));
-        settings.put("siblings", root.whole("relays", 1, 1, 100_000));
+        int relays = root.whole("relays", 1, 1, 100_000);
+        settings.put("siblings", relays);
         settings.put("registryMode", list.has("discovery") ? "subscribe" : "none");
         settings.put("profiles", profiles(root));
         settings.put("tenants", customers(root));
@@ -69,7 +70,6 @@
         Part fees = root.part("fees");
         settings.put("fees", map("crossZone", fees.number("crossing", 0, 0, 1), "probe", fees.number("probe", 0, 0, 1)));
         config.put("settings", settings);
-        int relays = root.whole("relays", 1, 1, 100_000);
         Map<String, Object> routes = PoolsFile.read(root, names(zones), names(models), profileNames(settings),
                 Math.max(1, relays / zones.size()), 60);
         if (routes != null) {
--- a/cli/src/main/java/asterpulley/cli/RoutesCommand.java
+++ b/cli/src/main/java/asterpulley/cli/RoutesCommand.java
@@ -2,7 +2,6 @@
 
 import asterpulley.Balance;
 import asterpulley.Front;
-import asterpulley.Listed;
 import asterpulley.Outcome;
 import asterpulley.Report;
 import asterpulley.Settings;
@@ -159,15 +158,7 @@
 
         private void print(Charter charter, boolean again, long seed) {
             Balance balance = new Balance(set, seed, this);
-            List<Listed> listed = new ArrayList<>();
-            for (Map<?, ?> s : servers()) {
-                listed.add(new Listed(name(s), charter.pools.indexOf(String.valueOf(s.get("pool"))), 0, 0, switch (text(s, "state")) {
-                    case "up" -> Listed.State.RUNNING;
-                    case "draining" -> Listed.State.DRAINING;
-                    default -> Listed.State.GONE;
-                }, s.get("age_s") instanceof Number age ? NOW - age.doubleValue() : Double.NEGATIVE_INFINITY));
-            }
-            balance.list(listed, true);
+            balance.list(guide.listed(known, NOW), true);
             for (Map<?, ?> s : servers()) {
                 Report report = new Report();
                 report.load = s.get("load") instanceof Number load ? load.doubleValue() : Double.NaN;
@@ -238,11 +229,7 @@
         }
 
         private static String name(Map<?, ?> server) {
-            return text(server, "name");
-        }
-
-        private static String text(Map<?, ?> of, String key) {
-            return String.valueOf(of.get(key));
+            return String.valueOf(server.get("name"));
         }
 
         @Override
--- a/lab/src/main/java/asterpulley/lab/model/PlainBrain.java
+++ b/lab/src/main/java/asterpulley/lab/model/PlainBrain.java
@@ -17,8 +17,8 @@
 
 /**
  * The textbook policies to compare with: random, round robin, least own tunnels, the better of two random choices, a
- * fixed priority of rooms with an over-provisioning factor, and an ideal that sees every server as it is. All of them leave a server out for a while that failed three times in a row,
- * try again only where that is lawful, and move what stands on a draining server. It must keep the four rules as far as
+ * fixed priority of rooms with an over-provisioning factor, and an ideal that sees every server as it is. All of them
+ * leave a server out for a while that failed three times in a row, try again only where that is lawful, and move what stands on a draining server. It must keep the four rules as far as
  * such a policy can, so that what it is compared by is its choice.
  */
 final class PlainBrain implements Brain {
--- a/routes/src/main/java/asterpulley/routes/Charter.java
+++ b/routes/src/main/java/asterpulley/routes/Charter.java
@@ -65,7 +65,7 @@
         return left;
     }
 
-    private double credit(int profile) {
+    double credit(int profile) {
         return profile < credit.length ? credit[profile] : 1;
     }
 
--- a/routes/src/main/java/asterpulley/routes/Guide.java
+++ b/routes/src/main/java/asterpulley/routes/Guide.java
@@ -229,7 +229,7 @@
             if (!spilling[pool]) {
                 spilling[pool] = true;
                 log.accept("spill to " + routes.charter().pools.get(pool) + " begins, home "
-                        + routes.pool(routes.charter().home).condition().name().toLowerCase().replace('_', ' ') + ", at most "
+                        + routes.pool(routes.charter().home).condition().text() + ", at most "
                         + Math.round(routes.spill(pool).most()) + " mean loads from here");
             }
         }
@@ -338,7 +338,7 @@
         List<WayBack.Guest> away = new ArrayList<>();
         for (long id : returning ? guests : Set.<Long>of()) {
             Tun tun = find(id);
-            away.add(new WayBack.Guest(id, tun.key, tun.units, credit(charter, tun.profile), tun.openedAt,
+            away.add(new WayBack.Guest(id, tun.key, tun.units, charter.credit(tun.profile), tun.openedAt,
                     spared(charter, tun.profile, now)));
         }
         List<Long> leave = wayBack.leave(away, charter.stay, returning ? bears : 0, now);
@@ -352,10 +352,6 @@
                 || profile < charter.sparedInRush.length && charter.sparedInRush[profile] && rush(profile, now).on(now);
     }
 
-    private static double credit(Charter charter, int profile) {
-        return profile < charter.credit.length ? charter.credit[profile] : 1;
-    }
-
     public Pool.Condition condition(int pool) {
         return routes.pool(pool).condition();
     }
@@ -415,8 +411,8 @@
         return state;
     }
 
-    /** Takes what another relay knew for its own, in a guide that knows nothing yet; the charter must name its pools. */
-    public void restore(Map<String, Object> state, double now) {
+    /** The servers that such a state names, as a list would; the charter must name their pools. */
+    public List<Listed> listed(Map<String, Object> state, double now) {
         List<String> pools = routes.charter().pools;
         List<Listed> listed = new ArrayList<>();
         for (Map<String, Object> one : tables(state, "servers")) {
@@ -430,7 +426,13 @@
                 default -> Listed.State.GONE;
             }, now - number(one, "age_s", Double.POSITIVE_INFINITY)));
         }
-        list(listed, true, now);
+        return listed;
+    }
+
+    /** Takes what another relay knew for its own, in a guide that knows nothing yet. */
+    public void restore(Map<String, Object> state, double now) {
+        List<String> pools = routes.charter().pools;
+        list(listed(state, now), true, now);
         for (Map<String, Object> one : tables(state, "servers")) {
             routes.restore(index.get(String.valueOf(one.get("name"))), Boolean.TRUE.equals(one.get("silent")),
                     number(one, "load", Double.NaN), number(one, "placed", 0),
--- a/routes/src/main/java/asterpulley/routes/Pool.java
+++ b/routes/src/main/java/asterpulley/routes/Pool.java
@@ -7,7 +7,14 @@
  */
 public final class Pool {
     /** {@code CUT_OFF}: silent to this relay, while the list still names it; {@code UNLISTED}: the list names nobody. */
-    public enum Condition { SOUND, SUSPECT, DARK, CUT_OFF, UNLISTED, OVERLOADED, RETURNING }
+    public enum Condition {
+        SOUND, SUSPECT, DARK, CUT_OFF, UNLISTED, OVERLOADED, RETURNING;
+
+        /** As operators read it. */
+        String text() {
+            return name().toLowerCase().replace('_', ' ');
+        }
+    }
 
     private final PoolHealth health;
     private final PoolLoad load;
--- a/routes/src/main/java/asterpulley/routes/Routes.java
+++ b/routes/src/main/java/asterpulley/routes/Routes.java
@@ -154,8 +154,8 @@
         Pool pool = pools[p];
         Pool.Condition was = pool.condition();
         if (pool.judge(now)) {
-            log.accept("pool " + charter.pools.get(p) + " " + was.name().toLowerCase().replace('_', ' ') + " to "
-                    + pool.condition().name().toLowerCase().replace('_', ' ') + ", silent " + pool.quiet + " of "
+            log.accept("pool " + charter.pools.get(p) + " " + was.text() + " to "
+                    + pool.condition().text() + ", silent " + pool.quiet + " of "
                     + pool.running + ", mean load " + (pool.known == 0 ? "-" : Math.round(pool.meanLoad() * 100) / 100.0) + ", guests "
                     + Math.round(spill[p].guests()));
             turns = charter.turns(pools[charter.home].doubted());
