--- a/relay/src/test/java/asterpulley/serve/DeployTest.java
+++ b/relay/src/test/java/asterpulley/serve/DeployTest.java
@@ -21,7 +21,9 @@
         Path file = folder.resolve("config.json");
         Files.writeString(file, config);
         ProcessBuilder run = new ProcessBuilder("sh", "../deploy/run").redirectErrorStream(true);
-        run.environment().merge("PATH", folder.toString(), (old, ours) -> ours + ":" + old);
+        // Nothing but the stand-in can be found: a start that needs other programs fails.
+        run.command().set(0, "/bin/sh");
+        run.environment().put("PATH", folder.toString());
         run.environment().put("LB_CONFIG", file.toString());
         Process process = run.start();
         String called = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
@@ -37,6 +39,8 @@
             assertTrue(called.contains(" -Xmx" + c[1] + "m "), c[0] + ": " + called);
             assertTrue(called.endsWith(" serve\n"), called);
         }
+        String spread = "{\"limits\":{\"memory_mb\"\n :\n 96}, \"known\":{}}";
+        assertTrue(runWith(spread).contains(" -Xmx40m "), "spread over lines, the last without an end");
         assertTrue(runWith("{}").contains(" -Xmx124m "), "without a limit, as for the largest");
     }
 }
