A door for operators: health, figures, cordon, uncordon, quiesce and resume

Design: package asterpulley.door is wire only (HTTP on Grizzly's server filter, on the relay's one selector thread, one call to a connection, 23 callers at most, the longest silent gives way; its 24 descriptors are kept out of what tunnels may take). What is asked goes through Desk, held by serve.Operators. A cordon is a call on the module (Balance.cordon, the whole set each time), kept apart from the list; a server left out is not ready, is not sought, its tunnels leave as from an offline one; back, it counts as freshly started and is sought at once. Setups still dialling a server that is to get nothing new (cordon, drain, gone) are recalled and placed elsewhere: nothing of them is written, so they are known not to have run. Quiesce: PING is answered NO, standing clients are moved from 0.4 s to 2.8 s after the call; the pace is core's Exodus, also that of leaving. Answers are counted by profile, one count for SIGUSR1 and the door. Way not taken: a second transport with its own thread for the door (it would answer while the relay hangs, and lie), and a cordon as a list entry that says draining (a reread would lift it).

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * Decides for one relay where each tunnel goes. The entry point is {@link #take}: it gives a handle on which
@@ -79,13 +80,15 @@
     private double strangers = 1, largest = 2 * SMALLEST;
     private String[] ep = {};
     private int[] zone = {}, model = {}, cell = {}, silence = {};
-    private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {}, eased = {};
+    private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {}, eased = {}, out = {};
     private double[] load = {}, extra = {}, placed = {}, own = {};
     private double[] startedAt = {}, seekAt = {}, seenAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
     private double[] good = {}, bad = {}, coldCredit = {}, drainedAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
     private final List<Tunnel> waiting = new ArrayList<>();
     private final List<ArrayDeque<Placement>> recent = new ArrayList<>();
+    /** What operators leave out, whatever the list says; names, since one may not be listed yet or any more. */
+    private Set<String> cordoned = Set.of();
     private final Map<String, int[]> groups = new HashMap<>();
     private final Map<String, int[]> orders = new HashMap<>();
 
@@ -500,7 +503,7 @@
     // ---- Servers
 
     private boolean ready(int s) {
-        return running[s] && !offline[s];
+        return running[s] && !offline[s] && !out[s];
     }
 
     private boolean isFull(int s) {
@@ -653,7 +656,7 @@
         double now = front.now();
         double f = factor(s);
         // What still stands when a draining server stops is cut off, so it is moved before.
-        boolean leaves = offline[s] || drainedAt[s] > 0 && now - drainedAt[s] > DRAIN_WAIT;
+        boolean leaves = offline[s] || out[s] || drainedAt[s] > 0 && now - drainedAt[s] > DRAIN_WAIT;
         double wanted = leaves ? own[s] : f > CROWDED ? own[s] * (f - FULL) / f : 0;
         if (wanted <= 0 || moveCredit < 1 || eased[s] || held.get(s).isEmpty() || shared) {
             return;
@@ -795,7 +798,7 @@
             age(s, now);
             largest = Math.max(largest, capacity(s));
             relieve(s);
-            if (running[s] && seekAt[s] <= now && set.probesAllowed) {
+            if (running[s] && !out[s] && seekAt[s] <= now && set.probesAllowed) {
                 seek(s);
             }
         }
@@ -834,6 +837,53 @@
         listBackOff = Math.min(2 * listBackOff, Math.min(4, set.askEvery / 2));
     }
 
+    // ---- What operators leave out
+
+    /** The servers that operators leave out from now on, all of them; it holds until the next such call. */
+    public void cordon(Set<String> servers) {
+        cordoned = Set.copyOf(servers);
+        for (int s = 0; s < n; s++) {
+            boolean was = out[s];
+            out[s] = cordoned.contains(ep[s]);
+            if (was && !out[s]) {
+                // It was restarted meanwhile: what was known of it is not of what runs there now.
+                offline[s] = false;
+                restUntil[s] = drainedAt[s] = extra[s] = placed[s] = 0;
+                failedAt[s] = Double.NEGATIVE_INFINITY;
+                recent.get(s).clear();
+                restarted(s, front.now());
+            }
+            if (was != out[s]) {
+                front.log((out[s] ? "cordoned " : "uncordoned ") + ep[s] + ", own " + held.get(s).size()
+                        + ", left out " + cordoned.size());
+            }
+        }
+    }
+
+    public Set<String> cordoned() {
+        return cordoned;
+    }
+
+    /** True of a server that the list named at some time, or that is left out. */
+    public boolean knows(String server) {
+        return index.containsKey(server) || cordoned.contains(server);
+    }
+
+    /** True where new tunnels may go by the list and the operators, whatever this relay thinks of that server. */
+    public boolean allowed(String server) {
+        Integer s = index.get(server);
+        return s != null && running[s] && !out[s];
+    }
+
+    /** How many servers the list has; of them, those that get nothing new from here for now. */
+    public int members(boolean onlyAvoided) {
+        int members = 0;
+        for (int s = 0; s < n; s++) {
+            members += listed[s] && !(onlyAvoided && ready(s)) ? 1 : 0;
+        }
+        return members;
+    }
+
     private void restarted(int s, double at) {
         startedAt[s] = at;
         coldCredit[s] = random.nextDouble();
@@ -857,6 +907,7 @@
             full = Arrays.copyOf(full, m);
             seeking = Arrays.copyOf(seeking, m);
             eased = Arrays.copyOf(eased, m);
+            out = Arrays.copyOf(out, m);
             load = Arrays.copyOf(load, m);
             extra = Arrays.copyOf(extra, m);
             placed = Arrays.copyOf(placed, m);
@@ -873,6 +924,7 @@
             coldCredit = Arrays.copyOf(coldCredit, m);
         }
         ep[n] = server;
+        out[n] = cordoned.contains(server);
         startedAt[n] = failedAt[n] = workedAt[n] = seenAt[n] = Double.NEGATIVE_INFINITY;
         orders.clear();
         // A start does not seek a large fleet all at once: what its first tunnels need is sought for them.
--- a/core/src/main/java/asterpulley/Settings.java
+++ b/core/src/main/java/asterpulley/Settings.java
@@ -11,6 +11,7 @@
     public enum Reach { ALL, ZONE, CELL }
 
     public static final class Profile {
+        public String name = "";
         public double setupGoal = 0.5;
         public double clientTimeout = 2;
         public double credit = 1;
--- a/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
+++ b/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
@@ -58,6 +58,7 @@
 
     private static Settings.Profile profile(Map<String, Object> in) {
         Settings.Profile p = new Settings.Profile();
+        p.name = String.valueOf(in.getOrDefault("name", ""));
         p.setupGoal = Json.number(in, "setupGoalMs", 1000 * p.setupGoal) / 1000;
         p.clientTimeout = Json.number(in, "clientTimeoutMs", 1000 * p.clientTimeout) / 1000;
         p.credit = Json.number(in, "credit", p.credit);
--- /dev/null
+++ b/relay/src/main/java/asterpulley/door/Figures.java
@@ -0,0 +1,55 @@
+package asterpulley.door;
+
+import asterpulley.net.Book;
+import asterpulley.net.Route;
+
+/**
+ * Owns the figures' names, in the text format of Prometheus. Every figure is read where it stands, from what is or from
+ * the one count of it; it must never count anything itself.
+ */
+public final class Figures {
+    private Figures() {
+    }
+
+    public static String text(Book book, Route route) {
+        StringBuilder text = new StringBuilder(1024);
+        head(text, "downstream_requests_total", "counter", "Tunnels answered, by profile: opened, declined, closed with error.");
+        for (int p = 0; p < book.profiles().size(); p++) {
+            for (Book.Answer answer : Book.Answer.values()) {
+                text.append("relay_downstream_requests_total{lane=\"").append(escaped(book.profiles().get(p)))
+                        .append("\",result=\"").append(result(answer)).append("\"} ")
+                        .append(book.answers(answer, p)).append('\n');
+            }
+        }
+        figure(text, "upstream_requests_total", "counter", "Setups written whole to servers.", book.counted("setups_written"));
+        figure(text, "pending", "gauge", "Tunnels taken and not ended.", book.held());
+        figure(text, "members", "gauge", "Servers in the list.", route.members(false));
+        figure(text, "members_unavailable", "gauge", "Listed servers that get nothing new from here now.", route.members(true));
+        figure(text, "config_reloads_total", "counter", "Configurations taken on while running.", book.counted("configurations"));
+        figure(text, "config_reload_errors_total", "counter", "Configurations that could not be read.",
+                book.counted("configurations_unreadable"));
+        return text.toString();
+    }
+
+    private static String result(Book.Answer answer) {
+        return switch (answer) {
+            case OPENED -> "completed";
+            case DECLINED -> "rejected";
+            case CLOSED_WITH_ERROR -> "failed";
+        };
+    }
+
+    private static void figure(StringBuilder text, String name, String type, String help, long value) {
+        head(text, name, type, help);
+        text.append("relay_").append(name).append(' ').append(value).append('\n');
+    }
+
+    private static void head(StringBuilder text, String name, String type, String help) {
+        text.append("# HELP relay_").append(name).append(' ').append(help).append("\n# TYPE relay_").append(name)
+                .append(' ').append(type).append('\n');
+    }
+
+    private static String escaped(String label) {
+        return label.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
+}
--- a/relay/src/main/java/asterpulley/line/LineTalk.java
+++ b/relay/src/main/java/asterpulley/line/LineTalk.java
@@ -33,6 +33,11 @@
         send.abandon(passage);
     }
 
+    @Override
+    public void recall(Passage passage) {
+        send.recall(passage);
+    }
+
     @Override
     public void move(Passage passage) {
         relay.move(passage);
--- a/relay/src/main/java/asterpulley/line/Send.java
+++ b/relay/src/main/java/asterpulley/line/Send.java
@@ -78,6 +78,7 @@
         leg.say(passage.asked.opening(passage.sentAt + timeout - loop.now()), () -> {
             if (passage.setups == n && passage.reach == Failure.Reach.PARTLY_WRITTEN) {
                 passage.reach = Failure.Reach.SENT;
+                book.count("setups_written");
             }
         });
     }
@@ -119,7 +120,7 @@
         passage.reach = Failure.Reach.OPENED;
         passage.standing = true;
         passage.answered = true;
-        book.count("opened");
+        book.opened(passage);
         passage.client.say(Words.line(line));
         if (passage.clientEnded) {
             // It ended its sending behind its line, and only that: the backend is told so, and it gets its answer.
@@ -151,6 +152,13 @@
         }
     }
 
+    /** Its server is to get nothing new: what is not written yet is known not to run, and goes elsewhere at once. */
+    public void recall(Passage passage) {
+        if (passage.out && passage.reach == Failure.Reach.NOT_CONNECTED) {
+            failed(passage, passage.setups, Failure.Cause.RECALLED);
+        }
+    }
+
     private void failed(Passage passage, int n, Failure.Cause cause) {
         if (!passage.out || passage.setups != n) {
             return;
--- a/relay/src/main/java/asterpulley/line/TakeIn.java
+++ b/relay/src/main/java/asterpulley/line/TakeIn.java
@@ -6,6 +6,7 @@
 import asterpulley.net.Loop;
 import asterpulley.net.Passage;
 import asterpulley.net.Talk;
+import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -22,13 +23,16 @@
     private final Talk talk;
     private final Book book;
     private final Lobby lobby;
+    private final BooleanSupplier wanted;
 
-    public TakeIn(Loop loop, Words words, Talk talk, Book book, Lobby lobby) {
+    /** {@code wanted}: whether the front shall send more clients here. */
+    public TakeIn(Loop loop, Words words, Talk talk, Book book, Lobby lobby, BooleanSupplier wanted) {
         this.loop = loop;
         this.words = words;
         this.talk = talk;
         this.book = book;
         this.lobby = lobby;
+        this.wanted = wanted;
     }
 
     @Override
@@ -59,7 +63,7 @@
         if (!wrong && line.equals(Words.PING)) {
             book.count("pings");
             leg.spokeAt = loop.now();
-            leg.say(Words.line(Words.PONG));
+            leg.say(Words.line(wanted.getAsBoolean() ? Words.PONG : Words.NO));
             return ctx.getStopAction();
         }
         Words.Opening opening = wrong ? null : words.opening(line);
--- a/relay/src/main/java/asterpulley/net/Book.java
+++ b/relay/src/main/java/asterpulley/net/Book.java
@@ -1,5 +1,7 @@
 package asterpulley.net;
 
+import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -30,6 +32,12 @@
             return size() > ENDED_IDS;
         }
     };
+    /** How a tunnel was answered, in the order of the answers' names. */
+    public enum Answer { OPENED, DECLINED, CLOSED_WITH_ERROR }
+
+    /** Answers by profile: the one count of them, whoever shows it. */
+    private final Map<Answer, long[]> answers = new EnumMap<>(Answer.class);
+    private final List<String> profiles;
     private long lastId;
     private Consumer<Passage> left = passage -> { };
     public double lastAcceptedAt;
@@ -40,6 +48,32 @@
     /** So many of them, and every sender is held back at once: slow readers must not fill the memory. */
     public int mostWaiting = Integer.MAX_VALUE;
 
+    /** {@code profiles}: their names, by their place in the settings. */
+    public Book(List<String> profiles) {
+        this.profiles = profiles;
+        for (Answer answer : Answer.values()) {
+            answers.put(answer, new long[profiles.size()]);
+        }
+    }
+
+    public List<String> profiles() {
+        return profiles;
+    }
+
+    /** How many tunnels of this profile were answered so. */
+    public long answers(Answer answer, int profile) {
+        return answers.get(answer)[profile];
+    }
+
+    private long answers(Answer answer) {
+        return Arrays.stream(answers.get(answer)).sum();
+    }
+
+    /** Final answer: opened; the client is told by whoever owns the tunnel from here on. */
+    public void opened(Passage passage) {
+        answers.get(Answer.OPENED)[passage.asked.profile()]++;
+    }
+
     public void count(String what) {
         counters.merge(what, 1L, Long::sum);
     }
@@ -48,7 +82,13 @@
         counters.merge(what, amount, Long::sum);
     }
 
+    /** What was counted under this name; an answer's name stands for all profiles. */
     public long counted(String what) {
+        for (Answer answer : Answer.values()) {
+            if (answer.name().toLowerCase().equals(what)) {
+                return answers(answer);
+            }
+        }
         return counters.getOrDefault(what, 0L);
     }
 
@@ -95,7 +135,7 @@
 
     /** Final answer: declined, come back after so many seconds (0: no advice). */
     public void decline(Passage passage, double retryAfter) {
-        if (answers(passage, "declined")) {
+        if (answers(passage, Answer.DECLINED)) {
             passage.talk.decline(passage.client, retryAfter);
             answered(passage);
         }
@@ -103,18 +143,18 @@
 
     /** Final answer: closed with error. */
     public void closeWithError(Passage passage) {
-        if (answers(passage, "closed_with_error")) {
+        if (answers(passage, Answer.CLOSED_WITH_ERROR)) {
             passage.talk.closeWithError(passage.client);
             answered(passage);
         }
     }
 
     /** There is one final answer, so a second is dropped, and so is one to a tunnel that is gone. */
-    private boolean answers(Passage passage, String counter) {
+    private boolean answers(Passage passage, Answer answer) {
         if (passage == null || passage.answered) {
             return false;
         }
-        count(counter);
+        answers.get(answer)[passage.asked.profile()]++;
         passage.answered = true;
         passage.over = true;
         return true;
@@ -132,6 +172,13 @@
     @Override
     public String toString() {
         StringBuilder line = new StringBuilder("held=" + held() + " sockets=" + sockets);
+        answers.forEach((answer, by) -> {
+            line.append(' ').append(answer.name().toLowerCase()).append('=').append(answers(answer));
+            for (int p = 0; p < by.length; p++) {
+                line.append(p == 0 ? " (" : " ").append(profiles.get(p)).append(' ').append(by[p]);
+            }
+            line.append(')');
+        });
         counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
         return line.toString();
     }
--- a/relay/src/main/java/asterpulley/net/Failure.java
+++ b/relay/src/main/java/asterpulley/net/Failure.java
@@ -12,7 +12,7 @@
     public enum Reach { NOT_CONNECTED, PARTLY_WRITTEN, SENT, OPENED }
 
     /** What ended it: the backend's word, the connection, or this relay's own patience. */
-    public enum Cause { BYE, MOVE, ERR, BUSY, BROKEN, GIVEN_UP, CLIENT_LEFT }
+    public enum Cause { BYE, MOVE, ERR, BUSY, BROKEN, GIVEN_UP, RECALLED, CLIENT_LEFT }
 
     public Outcome outcome() {
         boolean sent = reach.compareTo(Reach.SENT) >= 0;
@@ -23,6 +23,7 @@
             case ERR -> Outcome.FAILED;
             case BUSY -> Outcome.FULL;
             case BROKEN -> sent ? Outcome.RESET : Outcome.NO_CONNECTION;
+            case RECALLED -> sent ? Outcome.CANCELLED : Outcome.NEVER_SENT;
             case GIVEN_UP -> sent ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION;
         };
     }
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -9,6 +9,7 @@
 import asterpulley.routes.Guide;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -209,6 +210,35 @@
             guide.list(servers, whole, loop.now());
         }
         balance.list(servers, whole);
+        loop.after(0, this::recall);
+    }
+
+    /** The servers that operators leave out from now on, all of them; true by when this returns. */
+    public void cordon(Set<String> servers) {
+        tell(() -> balance.cordon(servers));
+        recall();
+    }
+
+    /** Setups still on their way to a server that is to get nothing new are placed elsewhere. */
+    private void recall() {
+        for (Passage passage : book.all()) {
+            if (passage.out && passage.asked.at() == null && !balance.allowed(passage.host)) {
+                passage.talk.recall(passage);
+            }
+        }
+    }
+
+    /** The module's own view of its servers, to be read and not called on. */
+    public Set<String> cordoned() {
+        return balance.cordoned();
+    }
+
+    public boolean knows(String server) {
+        return balance.knows(server);
+    }
+
+    public int members(boolean onlyAvoided) {
+        return balance.members(onlyAvoided);
     }
 
     public void listFailed() {
--- a/relay/src/main/java/asterpulley/net/Talk.java
+++ b/relay/src/main/java/asterpulley/net/Talk.java
@@ -14,6 +14,9 @@
     /** Gives up the setup that is out, if any. */
     void abandon(Passage passage);
 
+    /** Gives up the setup that is out where nothing of it is written yet: its server is to get nothing new. */
+    void recall(Passage passage);
+
     /** Sends a standing client elsewhere, as soon as nothing is under way to it in part. */
     void move(Passage passage);
 
--- a/relay/src/main/java/asterpulley/serve/Config.java
+++ b/relay/src/main/java/asterpulley/serve/Config.java
@@ -16,6 +16,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * Owns what this relay is told: one file, read at its start and anew at every SIGHUP. Each reading is a value of its
@@ -26,6 +27,8 @@
     final String name;
     final InetSocketAddress listen;
     final InetSocketAddress discovery;
+    /** Where operators call; null where they do not. */
+    final InetSocketAddress operator;
     final long seed;
     final int sockets;
     final double memory;
@@ -43,6 +46,7 @@
         name = Json.text(in, "name");
         listen = address(Json.text(in, "listen"));
         discovery = in.get("discovery") == null ? null : address(Json.text(in, "discovery"));
+        operator = in.get("operator") == null ? null : address(Json.text(in, "operator"));
         seed = seed(Json.text(in, "seed"));
         sockets = (int) Json.number(Json.part(in, "limits"), "sockets", 1024);
         memory = Json.number(Json.part(in, "limits"), "memory_mb", 192) * (1 << 20);
@@ -89,7 +93,8 @@
 
     /** True where that reading asks for what only a new start can give: the module and the names are set up once. */
     boolean needsStart(Config anew) {
-        return !told.equals(anew.told) || !name.equals(anew.name) || !listen.equals(anew.listen);
+        return !told.equals(anew.told) || !name.equals(anew.name) || !listen.equals(anew.listen)
+                || !Objects.equals(operator, anew.operator);
     }
 
     private static long seed(String hex) {
--- /dev/null
+++ b/relay/src/main/java/asterpulley/serve/Farewell.java
@@ -0,0 +1,123 @@
+package asterpulley.serve;
+
+import asterpulley.Exodus;
+import asterpulley.net.Book;
+import asterpulley.net.Loop;
+import asterpulley.net.Passage;
+import asterpulley.net.Route;
+import java.util.logging.Logger;
+
+/**
+ * Owns how this relay sends its clients away: for good, or for as long as operators want it quiet. While it does,
+ * newcomers are still answered and what is pending is settled. It must never cut off whom it can still move.
+ */
+final class Farewell {
+    private static final Logger LOG = Logger.getLogger(Farewell.class.getName());
+    /** A restart leaves newcomers coming for less than this, and their lines come within it. */
+    private static final double NEWCOMERS = 0.6;
+    /** The platform kills no sooner than the longest client timeout, 3 s at most, and this after the signal. */
+    private static final double KILL_AFTER = 0.7;
+    private static final double LONGEST_WAIT = 3;
+    /** The rest before that is for last words to arrive, on a machine that may have part of a core. */
+    private static final double LAST_WORDS = 0.3;
+    /** Standing clients are moved over this time, so that they do not all come to the siblings at once. */
+    private static final double MOVES_OVER = 1;
+    /** They are served as long as that leaves room, but moved so much before the last moment. */
+    private static final double MOVED_BEFORE = 0.4;
+    /** A quiet relay's clients are moved once the front has noticed, and all before it counts as not done. */
+    private static final double QUIET_FROM = 0.4, QUIET_BY = 2.8;
+
+    private final Loop loop;
+    private final Book book;
+    private final Route route;
+    /** Null where nobody is sent away. */
+    private Exodus exodus;
+    private boolean quiet, leaving;
+    private double since, leave;
+
+    Farewell(Loop loop, Book book, Route route) {
+        this.loop = loop;
+        this.book = book;
+        this.route = route;
+    }
+
+    boolean quiet() {
+        return quiet;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    /** Sends clients away until {@link #resume}; said twice, it goes on as it was. */
+    void quiesce() {
+        if (!quiet && !leaving) {
+            quiet = true;
+            LOG.info("quiesced, held " + book.held());
+            exodus = new Exodus(loop.now() + QUIET_FROM, loop.now() + QUIET_BY);
+            quieten(exodus);
+        }
+    }
+
+    /** Back to work; who was not moved yet stays. */
+    void resume() {
+        if (quiet) {
+            quiet = false;
+            exodus = null;
+            LOG.info("resumed, held " + book.held());
+        }
+    }
+
+    private void quieten(Exodus by) {
+        if (exodus == by) {
+            move();
+            loop.after(Exodus.STEP, () -> quieten(by));
+        }
+    }
+
+    /**
+     * Told to end: newcomers are still answered, what is pending is settled, whoever stands is moved. Guards against
+     * clients with nowhere to go: the siblings may be full, or restart as well, so none is moved before it must be.
+     */
+    void leave(double longestTimeout, Runnable gone) {
+        if (!leaving) {
+            leaving = true;
+            quiet = false;
+            since = loop.now();
+            leave = Math.min(LONGEST_WAIT, longestTimeout) + KILL_AFTER - LAST_WORDS;
+            LOG.info("leaving, held " + book.held());
+            book.count("leaving");
+            double moved = since + leave - MOVED_BEFORE;
+            exodus = new Exodus(moved - MOVES_OVER, moved);
+            leaving(gone);
+        }
+    }
+
+    private void leaving(Runnable gone) {
+        double now = loop.now() - since;
+        move();
+        if (now > leave) {
+            // What is still pending now gets its answer before the kill instead of none.
+            book.all().forEach(route::overdue);
+        }
+        // A newcomer's line may still be on its way: whoever was accepted of late is waited for.
+        boolean alone = Math.min(now, loop.now() - book.lastAcceptedAt) > NEWCOMERS;
+        if (book.held() == 0 && book.lingering == 0 && alone || now > leave + 2 * Exodus.STEP) {
+            LOG.info("left after " + Math.round(now * 1000) + " ms");
+            LOG.info(book.toString());
+            gone.run();
+            return;
+        }
+        loop.after(Exodus.STEP, () -> leaving(gone));
+    }
+
+    private void move() {
+        int due = exodus.due(loop.now(), book.held());
+        for (Passage passage : book.all()) {
+            if (due > 0 && passage.standing && !passage.moving) {
+                due--;
+                passage.talk.move(passage);
+            }
+        }
+    }
+}
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -3,6 +3,7 @@
 import static asterpulley.net.Addresses.text;
 
 import asterpulley.decode.Json;
+import asterpulley.door.Door;
 import asterpulley.line.LineTalk;
 import asterpulley.line.Probes;
 import asterpulley.line.Relay;
@@ -14,7 +15,6 @@
 import asterpulley.net.Dialer;
 import asterpulley.net.Lobby;
 import asterpulley.net.Loop;
-import asterpulley.net.Passage;
 import asterpulley.net.Route;
 import asterpulley.net.SocketFilter;
 import asterpulley.routes.Guide;
@@ -52,36 +52,26 @@
     private static final int OWN_FILES = 40;
     /** The part of the memory that may hold what slow readers have not read. */
     private static final double FOR_SLOW_READERS = 0.1;
-    /** A restart leaves newcomers coming for less than this, and their lines come within it. */
-    private static final double NEWCOMERS = 0.6;
-    /** The platform kills no sooner than the longest client timeout, 3 s at most, and this after the signal. */
-    private static final double KILL_AFTER = 0.7;
-    private static final double LONGEST_WAIT = 3;
-    /** The rest before that is for last words to arrive, on a machine that may have part of a core. */
-    private static final double LAST_WORDS = 0.3;
-    /** Standing clients are moved over this time, so that they do not all come to the siblings at once. */
-    private static final double MOVES_OVER = 1;
-    /** They are served as long as that leaves room, but moved so much before the last moment. */
-    private static final double MOVED_BEFORE = 0.4;
-    private static final double MOVES_STEP = 0.05;
     /** Before what a relay knows of its pools, in its log. */
     public static final String ROUTES = "routes ";
 
     private Config config;
     private final Loop loop = new Loop();
-    private final Book book = new Book();
+    private final Book book;
     private final Route route;
     private final Discovery discovery;
     private final Admit admit;
     private final TCPNIOTransport transport;
     private TCPNIOServerConnection listener;
     private final CountDownLatch gone = new CountDownLatch(1);
-    private double leavingSince, leave;
-    private double movesOwed;
+    private final Farewell farewell;
+    /** Null where operators have no address here. */
+    private final Door door;
 
     /** Decides from now on; nobody is accepted before {@link #open}. */
     Serve(Config config) throws IOException {
         this.config = config;
+        book = new Book(config.settings.profiles.stream().map(p -> p.name).toList());
         transport = TCPNIOTransportBuilder.newInstance().setName("relay")
                 .setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
                 .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("relay").setCorePoolSize(1)
@@ -92,6 +82,8 @@
         Lobby lobby = new Lobby(loop, book);
         route = new Route(loop, book);
         discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
+        farewell = new Farewell(loop, book, route);
+        door = config.operator == null ? null : new Door(new Operators(farewell, book, route), loop, book);
         Dialer dialer = new Dialer(config.connectTimeout, transport, loop, book, lobby, discovery::dial);
         LineTalk talk = new LineTalk();
         Send send = new Send(loop, book, dialer, route);
@@ -106,7 +98,7 @@
         discovery.through(FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter())
                 .add(discovery).build());
         transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
-                .add(new TakeIn(loop, config.words, talk, book, lobby)).add(admit).add(route).add(relay).build());
+                .add(new TakeIn(loop, config.words, talk, book, lobby, () -> !farewell.quiet())).add(admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
@@ -130,11 +122,15 @@
     /** Serves as soon as this returns. */
     void open() throws IOException {
         listener = transport.bind(config.listen);
+        if (door != null) {
+            door.open(config.operator, transport);
+            LOG.info("operators are answered at " + text(door.address()));
+        }
     }
 
     private void limits() {
         book.mostWaiting = (int) (config.memory * FOR_SLOW_READERS / SocketFilter.BUFFER);
-        admit.room(config.sockets - OWN_FILES);
+        admit.room(config.sockets - OWN_FILES - (door == null ? 0 : Door.SOCKETS));
     }
 
     /**
@@ -146,6 +142,7 @@
             Config anew = source.read();
             loop.handIn(() -> changeTo(anew));
         } catch (IOException | RuntimeException e) {
+            loop.handIn(() -> book.count("configurations_unreadable"));
             LOG.warning("configuration kept, the new one cannot be read: " + e.getMessage());
         }
     }
@@ -227,6 +224,10 @@
         return (InetSocketAddress) listener.getLocalAddress();
     }
 
+    InetSocketAddress operator() {
+        return door.address();
+    }
+
     private void tellAll(Book counts) {
         LOG.info(counts.toString());
         if (route.guide() != null) {
@@ -241,7 +242,8 @@
 
     /** Tells it to end, from any thread. */
     void end() {
-        loop.handIn(this::leave);
+        loop.handIn(() -> farewell.leave(
+                config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0), gone::countDown));
     }
 
     /** Waits until it has left. */
@@ -253,46 +255,4 @@
     void kill() throws IOException {
         transport.shutdownNow();
     }
-
-    /**
-     * Told to end: newcomers are still answered, what is pending is settled, whoever stands is moved. Guards against
-     * clients with nowhere to go: the siblings may be full, or restart as well, so none is moved before it must be.
-     */
-    private void leave() {
-        if (leavingSince == 0) {
-            leavingSince = loop.now();
-            double longest = config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0);
-            leave = Math.min(LONGEST_WAIT, longest) + KILL_AFTER - LAST_WORDS;
-            LOG.info("leaving, held " + book.held());
-            book.count("leaving");
-            leaving();
-        }
-    }
-
-    private void leaving() {
-        double since = loop.now() - leavingSince;
-        double left = leave - MOVED_BEFORE - since;
-        if (left < MOVES_OVER) {
-            movesOwed += Math.max(1, book.held() * MOVES_STEP / Math.max(MOVES_STEP, left));
-        }
-        for (Passage passage : book.all()) {
-            if (passage.standing && !passage.moving && movesOwed >= 1) {
-                movesOwed--;
-                passage.talk.move(passage);
-            }
-        }
-        if (since > leave) {
-            // What is still pending now gets its answer before the kill instead of none.
-            book.all().forEach(route::overdue);
-        }
-        // A newcomer's line may still be on its way: whoever was accepted of late is waited for.
-        boolean quiet = Math.min(since, loop.now() - book.lastAcceptedAt) > NEWCOMERS;
-        if (book.held() == 0 && book.lingering == 0 && quiet || since > leave + 2 * MOVES_STEP) {
-            LOG.info("left after " + Math.round(since * 1000) + " ms");
-            LOG.info(book.toString());
-            gone.countDown();
-            return;
-        }
-        loop.after(MOVES_STEP, this::leaving);
-    }
 }
