Upgrades: a second process shares the clients' address, takes over cordons, and the first leaves

Design: with an operator's address told, clients' address is bound with SO_REUSEPORT, and only once the list was asked (2.5 s at most); then $TMPDIR names the process that serves. On SIGTERM a process that sees another living one named takes whoever waits in its queue and closes the listener at once (off the selector first: a registered channel is only closed a round later), and moves its clients over all the time it has. Without one it leaves as before. Way not taken: handing the listening socket over (needs a Unix socket with ancillary data, which the JDK lacks) and steering new connections by a filter program (a socket option the JDK cannot set).

--- a/relay/src/main/java/asterpulley/list/Discovery.java
+++ b/relay/src/main/java/asterpulley/list/Discovery.java
@@ -54,6 +54,8 @@
     private long version;
     private boolean watching, waiting, down;
     private int call;
+    /** Is told once that the list is as discovery has it now; until then calls do not wait for news. */
+    private Runnable whenCurrent;
 
     /** {@code address}: null where there is no discovery and the list only comes from the configuration. */
     public Discovery(InetSocketAddress address, Fleet.Names names, Fleet known, Loop loop, Book book, Route route,
@@ -77,6 +79,11 @@
         return dials.get(host);
     }
 
+    /** Before the watch begins: catches up first, and tells. The list that a relay is handed at its start may be old. */
+    public void whenCurrent(Runnable then) {
+        whenCurrent = then;
+    }
+
     public void watch() {
         if (!watching && address != null) {
             watching = true;
@@ -139,7 +146,7 @@
         HttpRequestPacket.Builder request = HttpRequestPacket.builder().method("GET").uri(PATH).protocol("HTTP/1.1")
                 .header("Host", host);
         if (version != NONE) {
-            request.query("index=" + version + "&wait=" + Math.round(WAIT * 1000));
+            request.query("index=" + version + "&wait=" + (whenCurrent == null ? Math.round(WAIT * 1000) : 1));
         }
         connection.write(request.build());
     }
@@ -180,6 +187,10 @@
             down = false;
             LOG.info("discovery back, list " + version + ", backends " + dials.size());
         }
+        if (whenCurrent != null) {
+            loop.after(0, whenCurrent);
+            whenCurrent = null;
+        }
         call();
         route.listed(fleet.servers(), fleet.whole());
     }
--- /dev/null
+++ b/relay/src/main/java/asterpulley/net/Listener.java
@@ -0,0 +1,85 @@
+package asterpulley.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ConnectionProbe;
+import org.glassfish.grizzly.nio.ChannelConfigurator;
+import org.glassfish.grizzly.nio.NIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * Owns the address where clients connect. It may be shared with another process of the same relay, and be given up
+ * while that one goes on: a connection that waits in the queue then must be taken, never be closed with the queue.
+ */
+public final class Listener {
+    private final TCPNIOServerConnection listening;
+    private boolean tookOne, closed;
+
+    private Listener(TCPNIOServerConnection listening) {
+        this.listening = listening;
+    }
+
+    /** Listens from now on; {@code shared}: beside other processes of the same user that share it as well. */
+    public static Listener open(InetSocketAddress address, boolean shared, TCPNIOTransport transport) throws IOException {
+        ChannelConfigurator usual = transport.getChannelConfigurator();
+        if (shared) {
+            transport.setChannelConfigurator(new Sharing(usual));
+        }
+        try {
+            return new Listener(transport.bind(address));
+        } finally {
+            transport.setChannelConfigurator(usual);
+        }
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listening.getLocalAddress();
+    }
+
+    /**
+     * Takes whoever waits in the queue and gives the address up, on the loop's thread. It is taken off the selector
+     * first, since a registered channel is only closed a round later, and what comes until then would be reset.
+     */
+    public void close() throws IOException {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        listening.getMonitoringConfig().addProbes(new ConnectionProbe.Adapter() {
+            @Override
+            public void onAcceptEvent(Connection server, Connection client) {
+                tookOne = true;
+            }
+        });
+        SelectionKey key = listening.getSelectionKey();
+        key.cancel();
+        key.selector().selectNow();
+        do {
+            tookOne = false;
+            listening.onAccept();
+        } while (tookOne);
+        listening.getChannel().close();
+        listening.terminateSilently();
+    }
+
+    private record Sharing(ChannelConfigurator usual) implements ChannelConfigurator {
+        @Override
+        public void preConfigure(NIOTransport transport, SelectableChannel channel) throws IOException {
+            usual.preConfigure(transport, channel);
+            if (channel instanceof ServerSocketChannel server) {
+                server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+        }
+
+        @Override
+        public void postConfigure(NIOTransport transport, SelectableChannel channel) throws IOException {
+            usual.postConfigure(transport, channel);
+        }
+    }
+}
--- a/relay/src/main/java/asterpulley/serve/Farewell.java
+++ b/relay/src/main/java/asterpulley/serve/Farewell.java
@@ -78,17 +78,18 @@
     /**
      * Told to end: newcomers are still answered, what is pending is settled, whoever stands is moved. Guards against
      * clients with nowhere to go: the siblings may be full, or restart as well, so none is moved before it must be.
+     * Where another process of this relay has taken over they have, and are moved over all the time that there is.
      */
-    void leave(double longestTimeout, Runnable gone) {
+    void leave(double longestTimeout, boolean succeeded, Runnable gone) {
         if (!leaving) {
             leaving = true;
             quiet = false;
             since = loop.now();
             leave = Math.min(LONGEST_WAIT, longestTimeout) + KILL_AFTER - LAST_WORDS;
-            LOG.info("leaving, held " + book.held());
+            LOG.info("leaving" + (succeeded ? ", another process serves" : "") + ", held " + book.held());
             book.count("leaving");
             double moved = since + leave - MOVED_BEFORE;
-            exodus = new Exodus(moved - MOVES_OVER, moved);
+            exodus = new Exodus(succeeded ? since : moved - MOVES_OVER, moved);
             leaving(gone);
         }
     }
--- /dev/null
+++ b/relay/src/main/java/asterpulley/serve/Kept.java
@@ -0,0 +1,108 @@
+package asterpulley.serve;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.logging.Logger;
+
+/**
+ * Owns the files by which processes of one relay know of each other: who is left out by operators, and which process
+ * serves. They are small, and in memory where the platform keeps them. Each is written whole (a new file, then a
+ * rename) or not at all; one that cannot be read is told by its name and must never keep a relay from starting.
+ */
+final class Kept {
+    private static final Logger LOG = Logger.getLogger(Kept.class.getName());
+    private static final String HEAD = "left out by operators, one a line", END = "end ";
+
+    private final Path cordons, serving;
+    private Object seen = "never read";
+
+    /** {@code relay}: its name, since several may share a folder. */
+    Kept(Path folder, String relay) {
+        String name = relay.replaceAll("[^A-Za-z0-9._-]", "_");
+        cordons = folder.resolve("asterpulley-" + name + ".cordons");
+        serving = folder.resolve("asterpulley-" + name + ".serving");
+    }
+
+    /** Who is left out. Of a file that was cut, the whole lines count: a ban that stays by mistake can be lifted. */
+    Set<String> cordons() {
+        Set<String> servers = new TreeSet<>();
+        seen = stamp();
+        try {
+            String text = Files.readString(cordons, StandardCharsets.ISO_8859_1);
+            List<String> lines = text.lines().toList();
+            for (int i = 1; i < lines.size(); i++) {
+                boolean whole = i + 1 < lines.size() || text.endsWith("\n");
+                if (whole && lines.get(i).matches("[!-~]{1,255}")) {
+                    servers.add(lines.get(i));
+                }
+            }
+            if (!text.startsWith(HEAD + "\n") || !text.endsWith("\n" + END + servers.size() + "\n")) {
+                LOG.warning("cut or foreign: " + cordons + ", what could be read of it counts: " + servers);
+            }
+        } catch (NoSuchFileException e) {
+            return servers;
+        } catch (IOException e) {
+            LOG.warning("cannot be read: " + cordons + ", " + e.getClass().getSimpleName() + "; nobody is left out by it");
+        }
+        return servers;
+    }
+
+    void cordons(Set<String> servers) throws IOException {
+        StringBuilder text = new StringBuilder(HEAD).append('\n');
+        servers.forEach(server -> text.append(server).append('\n'));
+        write(cordons, text.append(END).append(servers.size()).append('\n').toString());
+        seen = stamp();
+    }
+
+    /** True where another process has written who is left out since this one last read or wrote it. */
+    boolean changed() {
+        return !seen.equals(stamp());
+    }
+
+    private Object stamp() {
+        try {
+            BasicFileAttributes of = Files.readAttributes(cordons, BasicFileAttributes.class);
+            return List.of(of.lastModifiedTime(), of.size(), String.valueOf(of.fileKey()));
+        } catch (IOException e) {
+            return "none";
+        }
+    }
+
+    /** This process serves from now on. */
+    void serve() {
+        try {
+            write(serving, ProcessHandle.current().pid() + "\n");
+        } catch (IOException e) {
+            LOG.warning("cannot be written: " + serving + "; at an upgrade this process is not known to serve");
+        }
+    }
+
+    /** True where another process has taken over and runs. */
+    boolean succeeded() {
+        try {
+            long pid = Long.parseLong(Files.readString(serving).trim());
+            return pid != ProcessHandle.current().pid() && ProcessHandle.of(pid).isPresent();
+        } catch (IOException | NumberFormatException e) {
+            return false;
+        }
+    }
+
+    private static void write(Path file, String text) throws IOException {
+        Path whole = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
+        try {
+            Files.writeString(whole, text, StandardCharsets.ISO_8859_1);
+            Files.move(whole, file, StandardCopyOption.ATOMIC_MOVE);
+        } catch (IOException e) {
+            Files.deleteIfExists(whole);
+            throw e;
+        }
+    }
+}
--- a/relay/src/main/java/asterpulley/serve/Operators.java
+++ b/relay/src/main/java/asterpulley/serve/Operators.java
@@ -3,23 +3,63 @@
 import asterpulley.door.Desk;
 import asterpulley.door.Figures;
 import asterpulley.net.Book;
+import asterpulley.net.Loop;
 import asterpulley.net.Route;
+import java.io.IOException;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.logging.Logger;
 
 /**
  * Owns what operators may ask of this relay while it runs, and says yes only after the thing is so. It must never
  * change anything and then say no.
  */
 final class Operators implements Desk {
+    private static final Logger LOG = Logger.getLogger(Operators.class.getName());
+    /** How often it is seen whether another process was told: well within the second in which it has to hold. */
+    private static final double LOOK = 0.2;
+
     private final Farewell farewell;
     private final Book book;
     private final Route route;
+    private final Loop loop;
+    /** Null where nothing outlives this process. */
+    private final Kept kept;
+    private boolean open;
 
-    Operators(Farewell farewell, Book book, Route route) {
+    Operators(Farewell farewell, Book book, Route route, Loop loop, Kept kept) {
         this.farewell = farewell;
         this.book = book;
         this.route = route;
+        this.loop = loop;
+        this.kept = kept;
+    }
+
+    /** Takes on who was left out before this process came, and whom another process of this relay leaves out. */
+    void start() {
+        if (kept != null) {
+            adopt();
+            watch();
+        }
+    }
+
+    private void watch() {
+        if (kept.changed()) {
+            adopt();
+        }
+        loop.after(LOOK, this::watch);
+    }
+
+    private void adopt() {
+        Set<String> servers = kept.cordons();
+        if (!servers.equals(route.cordoned())) {
+            route.cordon(servers);
+        }
+    }
+
+    /** Clients can be taken from now on. */
+    void opened() {
+        open = true;
     }
 
     @Override
@@ -27,6 +67,9 @@
         if (farewell.leaving()) {
             return new Answer(Kind.NOT_NOW, "not ready: leaving");
         }
+        if (!open) {
+            return new Answer(Kind.NOT_NOW, "not ready: starting");
+        }
         if (farewell.quiet()) {
             return new Answer(Kind.NOT_NOW, "not ready: quiesced");
         }
@@ -55,8 +98,19 @@
         if (!route.knows(server)) {
             return new Answer(Kind.UNKNOWN, "no backend " + server);
         }
-        Set<String> servers = new TreeSet<>(route.cordoned());
+        // What another process was told a moment ago counts as well.
+        Set<String> servers = kept == null ? new TreeSet<>(route.cordoned()) : kept.cordons();
         if (out ? servers.add(server) : servers.remove(server)) {
+            try {
+                if (kept != null) {
+                    kept.cordons(servers);
+                }
+            } catch (IOException e) {
+                LOG.warning("cannot be kept over an upgrade, so not done: " + (out ? "cordon " : "uncordon ") + server + ", " + e);
+                return new Answer(Kind.FAILED, "not done: it could not be kept over an upgrade, no room for its file");
+            }
+        }
+        if (!servers.equals(route.cordoned())) {
             route.cordon(servers);
         }
         return Answer.yes(server + (out ? " is left out" : " is back") + ", left out now: " + servers.size());
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -13,6 +13,7 @@
 import asterpulley.net.Admit;
 import asterpulley.net.Book;
 import asterpulley.net.Dialer;
+import asterpulley.net.Listener;
 import asterpulley.net.Lobby;
 import asterpulley.net.Loop;
 import asterpulley.net.Route;
@@ -25,6 +26,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -32,7 +34,6 @@
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.memory.PooledMemoryManager;
-import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -52,6 +53,8 @@
     private static final int OWN_FILES = 40;
     /** The part of the memory that may hold what slow readers have not read. */
     private static final double FOR_SLOW_READERS = 0.1;
+    /** A start waits so long for news of the list, well within the time in which it has to be ready. */
+    private static final double CATCH_UP = 2.5;
     /** Before what a relay knows of its pools, in its log. */
     public static final String ROUTES = "routes ";
 
@@ -62,14 +65,17 @@
     private final Discovery discovery;
     private final Admit admit;
     private final TCPNIOTransport transport;
-    private TCPNIOServerConnection listener;
+    private Listener listener;
     private final CountDownLatch gone = new CountDownLatch(1);
     private final Farewell farewell;
-    /** Null where operators have no address here. */
+    /** Null where operators have no address here: then nothing outlives this process, and its address is its own. */
+    private final Operators operators;
     private final Door door;
+    private final Kept kept;
+    private final CountDownLatch current = new CountDownLatch(1);
 
-    /** Decides from now on; nobody is accepted before {@link #open}. */
-    Serve(Config config) throws IOException {
+    /** Decides from now on; nobody is accepted before {@link #open}. {@code folder}: what outlives it; null: nothing. */
+    Serve(Config config, Path folder) throws IOException {
         this.config = config;
         book = new Book(config.settings.profiles.stream().map(p -> p.name).toList());
         transport = TCPNIOTransportBuilder.newInstance().setName("relay")
@@ -83,7 +89,9 @@
         route = new Route(loop, book);
         discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
         farewell = new Farewell(loop, book, route);
-        door = config.operator == null ? null : new Door(new Operators(farewell, book, route), loop, book);
+        kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
+        operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept);
+        door = operators == null ? null : new Door(operators, loop, book);
         Dialer dialer = new Dialer(config.connectTimeout, transport, loop, book, lobby, discovery::dial);
         LineTalk talk = new LineTalk();
         Send send = new Send(loop, book, dialer, route);
@@ -106,7 +114,13 @@
             if (config.tellsOfPools()) {
                 route.narrowedBy(new Guide(config.charter(), loop.now(), book::log, book::count));
             }
+            if (operators != null && config.discovery != null) {
+                discovery.whenCurrent(current::countDown);
+            }
             route.start(config.settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
+            if (operators != null) {
+                operators.start();
+            }
             lobby.start();
             relay.start();
             probes.start();
@@ -119,17 +133,34 @@
         }
     }
 
-    /** Serves as soon as this returns. */
+    /**
+     * Serves as soon as this returns. Where another process of this relay may serve meanwhile, it comes in only once it
+     * can decide as well as that one: its list may be older than what the other was told.
+     */
     void open() throws IOException {
-        listener = transport.bind(config.listen);
-        if (door != null) {
-            door.open(config.operator, transport);
-            LOG.info("operators are answered at " + text(door.address()));
+        if (operators == null) {
+            listener = Listener.open(config.listen, false, transport);
+            return;
         }
+        door.open(config.operator, transport);
+        LOG.info("operators are answered at " + text(door.address()));
+        try {
+            if (config.discovery != null && !current.await((long) (CATCH_UP * 1000), TimeUnit.MILLISECONDS)) {
+                LOG.info("no news of the list in " + CATCH_UP + " s, serving by the one at hand");
+            }
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted at the start");
+        }
+        listener = Listener.open(config.listen, true, transport);
+        if (kept != null) {
+            kept.serve();
+        }
+        loop.handIn(operators::opened);
     }
 
     private void limits() {
-        book.mostWaiting = (int) (config.memory * FOR_SLOW_READERS / SocketFilter.BUFFER);
+        // At an upgrade two processes share the memory.
+        book.mostWaiting = (int) (config.memory / (operators == null ? 1 : 2) * FOR_SLOW_READERS / SocketFilter.BUFFER);
         admit.room(config.sockets - OWN_FILES - (door == null ? 0 : Door.SOCKETS));
     }
 
@@ -203,7 +234,8 @@
             return 1;
         }
         try {
-            Serve serve = new Serve(config);
+            String folder = System.getenv("TMPDIR");
+            Serve serve = new Serve(config, folder == null || folder.isEmpty() ? null : Path.of(folder));
             Signal.handle(new Signal("TERM"), s -> serve.end());
             Signal.handle(new Signal("HUP"), s -> serve.reload(source));
             Signal.handle(new Signal("USR1"), s -> serve.counted(serve::tellAll));
@@ -221,7 +253,7 @@
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) listener.getLocalAddress();
+        return listener.address();
     }
 
     InetSocketAddress operator() {
@@ -242,8 +274,18 @@
 
     /** Tells it to end, from any thread. */
     void end() {
-        loop.handIn(() -> farewell.leave(
-                config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0), gone::countDown));
+        loop.handIn(() -> {
+            boolean succeeded = kept != null && kept.succeeded();
+            if (succeeded) {
+                try {
+                    listener.close();
+                } catch (IOException e) {
+                    LOG.warning("the clients' address is not given up before the end: " + e);
+                }
+            }
+            farewell.leave(config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0), succeeded,
+                    gone::countDown);
+        });
     }
 
     /** Waits until it has left. */
--- a/relay/src/test/java/asterpulley/serve/ServeTest.java
+++ b/relay/src/test/java/asterpulley/serve/ServeTest.java
@@ -231,7 +231,7 @@
     }
 
     private void start(Config config) throws IOException {
-        serve = new Serve(config);
+        serve = new Serve(config, null);
         open.add(serve::kill);
         serve.open();
     }
