Cold budget: half of what a cold server bears may be used right away, and unused parts stay

Cause: the credit (age, restarted) began with a fraction of one tunnel and grew by the part over the warm-up, though the rule lets the part stand at once: fall multiple times what it can do now, by all relays. What was not used within a second was lost. Change: a restart grants half of this relay's part, and as much may be saved up.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -575,13 +575,17 @@
         return !cold(s, now) || coldCredit[s] >= 1;
     }
 
+    /** This relay's equal part of the mean loads that may stand on a cold server now before it falls. */
+    private double coldPart(int s) {
+        return set.fallMultiple * capacity(s) / set.siblings;
+    }
+
     /** What a tick lets fade and grow. */
     private void age(int s, double now) {
         good[s] *= KEEP;
         bad[s] *= KEEP;
         if (cold(s, now)) {
-            double rate = set.fallMultiple * capacity(s) / set.coldTime / set.siblings;
-            coldCredit[s] = Math.min(Math.max(1, rate * set.fallTime), coldCredit[s] + rate * TIMER);
+            coldCredit[s] = Math.min(Math.max(1, coldPart(s) / 2), coldCredit[s] + coldPart(s) / set.coldTime * TIMER);
         }
     }
 
@@ -886,7 +890,8 @@
 
     private void restarted(int s, double at) {
         startedAt[s] = at;
-        coldCredit[s] = random.nextDouble();
+        // Half of what it can bear right away, the rest as it warms; a fraction of one tunnel is drawn.
+        coldCredit[s] = coldPart(s) / 2 + random.nextDouble();
         silence[s] = 0;
         full[s] = false;
         load[s] = good[s] = bad[s] = 0;
