A group's pull is weighed by what a cold server will be when warm; half-empty servers tried and undone

Cause: best() divided the pull by the capacity of the moment, so a server at a fifth of its strength was refused its group five times as hard, though the pull stands for a group's life and a server is cold for seconds; 'largest' had the same error. Change: warmCapacity for both.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -414,7 +414,8 @@
             }
             // The chance that no sibling holds the group at the server of this rank in the zone.
             double alone = Math.min(1, strangers + 0.35 * rank);
-            double f = holds ? 0 : GROUP_PULL * GROUP_COST * alone / capacity(s);
+            // It lasts longer than a server is cold.
+            double f = holds ? 0 : GROUP_PULL * GROUP_COST * alone / warmCapacity(s);
             if (f > FULL || isFull(s) || barred.get(s) || !lawful(tun, s)) {
                 continue;
             }
@@ -555,10 +556,14 @@
 
     /** How many mean loads fill this server now, learned from what servers hold at which load. */
     private double capacity(int s) {
+        return warmCapacity(s) * warmth(s, front.now());
+    }
+
+    private double warmCapacity(int s) {
         int m = model[s] & 63;
         double trust = heldTold ? 1 : ownOpen / (ownOpen + FEW);
         double learned = modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] : SMALLEST;
-        return Math.max(SMALLEST, trust * learned + (1 - trust) * SMALLEST) * warmth(s, front.now());
+        return Math.max(SMALLEST, trust * learned + (1 - trust) * SMALLEST);
     }
 
     private double warmth(int s, double now) {
@@ -800,7 +805,7 @@
         largest = 0;
         for (int s = 0; s < n; s++) {
             age(s, now);
-            largest = Math.max(largest, capacity(s));
+            largest = Math.max(largest, warmCapacity(s));
             relieve(s);
             if (running[s] && !out[s] && seekAt[s] <= now && set.probesAllowed) {
                 seek(s);
