--- a/relay/src/test/java/asterpulley/serve/FuzzTest.java
+++ b/relay/src/test/java/asterpulley/serve/FuzzTest.java
@@ -72,7 +72,7 @@
                 "known", Map.of("seq", 1, "whole", true, "hosts", List.of(host)),
                 "settings", Map.of("profiles", List.of(Map.of("name", "live", "effect", "read_like",
                         "clientTimeoutMs", 3000, "setupGoalMs", 2000)), "tenants", List.of(Map.of("name", "acme")),
-                        "limits", Map.of("probes", true, "mostSetups", 2)))));
+                        "limits", Map.of("probes", true, "mostSetups", 2)))), null);
         serve.open();
     }
 
--- /dev/null
+++ b/relay/src/test/java/asterpulley/serve/RelayStage.java
@@ -0,0 +1,256 @@
+package asterpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The stage of tests on loopback sockets: a relay between clients, backends and a discovery that are played here. */
+abstract class RelayStage {
+    static final String OPEN = "OPEN %x 7f3a c=%s,t=acme,d=%d,g=5c0f";
+    final List<AutoCloseable> open = Collections.synchronizedList(new ArrayList<>());
+    @TempDir
+    Path folder;
+
+    // ---- The stage
+
+    /** One end of a connection, in lines or in bytes; whatever should come is waited for. */
+    static final class End implements AutoCloseable {
+        final Socket socket;
+        final InputStream in;
+
+        End(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(20_000);
+            in = socket.getInputStream();
+        }
+
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** The next line; null at the end of the connection. */
+        String line() throws IOException {
+            ByteArrayOutputStream line = new ByteArrayOutputStream();
+            for (int b = in.read(); b != '\n'; b = in.read()) {
+                if (b < 0) {
+                    return line.size() == 0 ? null : line + " (cut off)";
+                }
+                line.write(b);
+            }
+            String text = line.toString(StandardCharsets.ISO_8859_1);
+            assertTrue(text.endsWith("\r"), text);
+            return text.substring(0, text.length() - 1);
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** A backend: answers probes by itself, and hands over every connection that brings an opening. */
+    final class Backend {
+        final ServerSocket listening;
+        final BlockingQueue<End> tunnels = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> openings = new LinkedBlockingQueue<>();
+        volatile String load = "x0=0.1,rif=1,busy=0.1";
+        /** Ends a probe's connection at the second question on it, unanswered. */
+        volatile boolean hangsUp;
+        volatile int probes;
+
+        Backend() throws IOException {
+            listening = listen(this::serve);
+        }
+
+        private void serve(End end) throws IOException {
+            for (String line = end.line(); line != null; line = end.line()) {
+                if (!line.equals("STATS")) {
+                    openings.add(line);
+                    tunnels.add(end);
+                    return;
+                }
+                probes++;
+                end.say("PONG " + load + "\r\n");
+                if (hangsUp) {
+                    end.line();
+                    end.close();
+                    return;
+                }
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + listening.getLocalPort();
+        }
+
+        String entry(String host, String health) {
+            return ("{\"host\":\"%s\",\"dial\":\"%s\",\"site\":\"a\",\"class\":\"m\",\"block\":0,"
+                    + "\"health\":\"%s\",\"born_ms\":0}").formatted(host, address(), health);
+        }
+
+        End taken() throws InterruptedException {
+            return tunnels.take();
+        }
+
+        /** Takes the next tunnel and opens it. */
+        End opens() throws IOException, InterruptedException {
+            End end = taken();
+            end.say("UP r1\r\n");
+            return end;
+        }
+    }
+
+    /** Discovery: each call waits here until the test answers it. */
+    final class Registry {
+        final ServerSocket listening;
+        final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+
+        Registry() throws IOException {
+            listening = listen(this::serve);
+        }
+
+        private void serve(End end) throws Exception {
+            for (String line = end.line(); line != null; line = end.line()) {
+                if (line.startsWith("GET ")) {
+                    calls.add(line.split(" ")[1]);
+                } else if (line.isEmpty()) {
+                    String answer = answers.take();
+                    end.say(answer);
+                    if (!answer.contains(" 200 ")) {
+                        end.close();
+                        return;
+                    }
+                }
+            }
+        }
+
+        void tells(int version, String... entries) {
+            tells(version, false, entries);
+        }
+
+        void tells(int version, boolean whole, String... entries) {
+            String body = "{\"seq\":%d,\"whole\":%s,\"hosts\":[%s]}"
+                    .formatted(version, whole, String.join(",", entries));
+            answers.add("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
+                    .formatted(body.length(), body));
+        }
+    }
+
+    interface Work {
+        void run() throws Exception;
+    }
+
+    interface Host {
+        void serve(End end) throws Exception;
+    }
+
+    ServerSocket listen(Host host) throws IOException {
+        ServerSocket listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        open.add(listening);
+        background(() -> {
+            while (true) {
+                End end = new End(listening.accept());
+                open.add(end);
+                background(() -> host.serve(end));
+            }
+        });
+        return listening;
+    }
+
+    static void background(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // The stage ends its connections at the end of a test; what was expected of them is asserted there.
+                return;
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    int clients;
+    Registry registry;
+    Serve serve;
+
+    Config config(int sockets, String... entries) throws IOException {
+        registry = new Registry();
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, """
+                {"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
+                 "limits":{"sockets":%d},"known":{"seq":41,"whole":true,"hosts":[%s]},
+                 "settings":{"zones":["a"],"models":["m"],"tenants":[{"name":"acme","share":1}],"siblings":1,
+                 "registryMode":"subscribe","profiles":[
+                 {"name":"chat","effect":"read_like","clientTimeoutMs":3000,"setupGoalMs":2000},
+                 {"name":"pay","effect":"non_idempotent","clientTimeoutMs":3000,"setupGoalMs":2000}],
+                 "limits":{"probes":true,"retryAfter":true,"maxRetryAfterMs":1000,"mostSetups":4,"dialTimeoutMs":1000},
+                 "rules":{"askEveryMs":10000}}}
+                """.formatted(registry.listening.getLocalPort(), sockets, String.join(",", entries)));
+        return Config.read(file);
+    }
+
+    void start(String... entries) throws IOException {
+        start(config(1000, entries));
+    }
+
+    void start(Config config) throws IOException {
+        serve = new Serve(config, null);
+        open.add(serve::kill);
+        serve.open();
+    }
+
+    End connect() throws IOException {
+        End end = new End(new Socket(serve.address().getAddress(), serve.address().getPort()));
+        open.add(end);
+        return end;
+    }
+
+    End client(String profile, int patience) throws IOException {
+        End end = connect();
+        end.say(OPEN.formatted(++clients, profile, patience) + "\r\n");
+        return end;
+    }
+
+    long counted(String what) throws Exception {
+        CompletableFuture<Long> got = new CompletableFuture<>();
+        serve.counted(book -> got.complete(book.counted(what)));
+        return got.get(20, TimeUnit.SECONDS);
+    }
+
+    void await(String what, long atLeast) throws Exception {
+        while (counted(what) < atLeast) {
+            Thread.yield();
+        }
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (int i = open.size() - 1; i >= 0; i--) {
+            open.get(i).close();
+        }
+    }
+}
