--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Plays one scenario: a front whose clock, servers and clients are told by lines of text; README names the notation. */
 final class Stage implements Front {
@@ -94,6 +96,7 @@
                 }
                 balance.list(entries, w[0].equals("list"));
             }
+            case "cordon" -> balance.cordon(Set.of(w).stream().filter(x -> !x.equals("cordon")).collect(Collectors.toSet()));
             case "list-failed" -> balance.listFailed();
             case "wait" -> {
             }
@@ -123,6 +126,8 @@
     private void expect(String[] w) {
         switch (w[1]) {
             case "log" -> check(log.stream().anyMatch(l -> l.contains(w[2])), log.toString());
+            case "members", "avoided" -> check(balance.members(w[1].equals("avoided")) == Integer.parseInt(w[2]),
+                    balance.members(false) + " members, avoided " + balance.members(true));
             case "watches" -> check(watches >= Integer.parseInt(w[2]), watches + " watches");
             case "sent", "sought" -> {
                 int sent = (w[1].equals("sent") ? sentTo : sought).getOrDefault(w[2], 0);
