A new process takes over what the old one has learned of machines and profiles

Design: each 2 s the serving process writes what the module has learned (loads held by model, loads by profile, setup times) into $TMPDIR, whole; a new one reads it at its start, before its yes. Way not taken: loads and doubts of single servers, which a probe tells in 50 ms.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -846,6 +846,38 @@
         listBackOff = Math.min(2 * listBackOff, Math.min(4, set.askEvery / 2));
     }
 
+    // ---- Over an upgrade
+
+    /** What this module has learned of machines and profiles, for the process that takes over. */
+    public double[] learned() {
+        double[] all = new double[3 + 2 * (modelHeld.length + profileLoad.length)];
+        all[0] = heldTold ? 1 : 0;
+        all[1] = setupLag;
+        all[2] = setupLagSpread;
+        int at = 3;
+        for (double[] part : List.of(modelHeld, modelLoad, profileLoad, profileSeen)) {
+            System.arraycopy(part, 0, all, at, part.length);
+            at += part.length;
+        }
+        return all;
+    }
+
+    /** Takes on what another process of this relay has learned; false where that was another form. */
+    public boolean learn(double[] all) {
+        if (all.length != learned().length || Arrays.stream(all).anyMatch(x -> !(x >= 0 && x < 1e12))) {
+            return false;
+        }
+        heldTold = all[0] > 0;
+        setupLag = all[1];
+        setupLagSpread = all[2];
+        int at = 3;
+        for (double[] part : List.of(modelHeld, modelLoad, profileLoad, profileSeen)) {
+            System.arraycopy(all, at, part, 0, part.length);
+            at += part.length;
+        }
+        return true;
+    }
+
     // ---- What operators leave out
 
     /** The servers that operators leave out from now on, all of them; it holds until the next such call. */
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -228,6 +228,16 @@
         }
     }
 
+    /** What the module has learned, for another process of this relay; see {@link #learn}. */
+    public double[] learned() {
+        return balance.learned();
+    }
+
+    /** Takes on what another process had learned; false where it cannot be used. */
+    public boolean learn(double[] learned) {
+        return balance.learn(learned);
+    }
+
     /** The module's own view of its servers, to be read and not called on. */
     public Set<String> cordoned() {
         return balance.cordoned();
--- a/relay/src/main/java/asterpulley/serve/Kept.java
+++ b/relay/src/main/java/asterpulley/serve/Kept.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.attribute.BasicFileAttributes;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -14,15 +15,15 @@
 import java.util.logging.Logger;
 
 /**
- * Owns the files by which processes of one relay know of each other: who is left out by operators, and which process
- * serves. They are small, and in memory where the platform keeps them. Each is written whole (a new file, then a
+ * Owns the files by which processes of one relay know of each other: who is left out by operators, which process
+ * serves, and what it has learned. They are small, and in memory where the platform keeps them. Each is written whole (a new file, then a
  * rename) or not at all; one that cannot be read is told by its name and must never keep a relay from starting.
  */
 final class Kept {
     private static final Logger LOG = Logger.getLogger(Kept.class.getName());
     private static final String HEAD = "left out by operators, one a line", END = "end ";
 
-    private final Path cordons, serving;
+    private final Path cordons, serving, learned;
     private Object seen = "never read";
 
     /** {@code relay}: its name, since several may share a folder. */
@@ -30,6 +31,7 @@
         String name = relay.replaceAll("[^A-Za-z0-9._-]", "_");
         cordons = folder.resolve("asterpulley-" + name + ".cordons");
         serving = folder.resolve("asterpulley-" + name + ".serving");
+        learned = folder.resolve("asterpulley-" + name + ".learned");
     }
 
     /**
@@ -81,6 +83,26 @@
         }
     }
 
+    /** What another process had learned; empty where nothing is kept or it is no row of numbers. */
+    double[] learned() {
+        try {
+            return Files.readString(learned, StandardCharsets.ISO_8859_1).lines().mapToDouble(Double::parseDouble).toArray();
+        } catch (IOException | NumberFormatException e) {
+            return new double[0];
+        }
+    }
+
+    /** Keeps what this process has learned; where it can't, a new one learns anew. */
+    void learned(double[] all) {
+        StringBuilder text = new StringBuilder();
+        Arrays.stream(all).forEach(x -> text.append((float) x).append('\n'));
+        try {
+            write(learned, text.toString());
+        } catch (IOException e) {
+            LOG.fine("not kept: " + e);
+        }
+    }
+
     /** This process serves from now on. */
     void serve() {
         try {
--- a/relay/src/main/java/asterpulley/serve/Operators.java
+++ b/relay/src/main/java/asterpulley/serve/Operators.java
@@ -18,6 +18,8 @@
     private static final Logger LOG = Logger.getLogger(Operators.class.getName());
     /** How often it is seen whether another process was told: well within the second in which it has to hold. */
     private static final double LOOK = 0.2;
+    /** How often what was learned is written down; it changes slowly. */
+    private static final double TEACH = 2;
 
     private final Farewell farewell;
     private final Book book;
@@ -40,6 +42,11 @@
         if (kept != null) {
             adopt();
             watch();
+            double[] learned = kept.learned();
+            if (learned.length > 0) {
+                LOG.info((route.learn(learned) ? "taken over" : "not of this form") + ": what another process had learned");
+            }
+            loop.after(TEACH, this::teach);
         }
     }
 
@@ -50,6 +57,13 @@
         loop.after(LOOK, this::watch);
     }
 
+    private void teach() {
+        if (!farewell.leaving()) {
+            kept.learned(route.learned());
+            loop.after(TEACH, this::teach);
+        }
+    }
+
     private void adopt() {
         kept.cordons().filter(servers -> !servers.equals(route.cordoned())).ifPresent(route::cordon);
     }
--- a/relay/src/test/java/asterpulley/serve/KeptTest.java
+++ b/relay/src/test/java/asterpulley/serve/KeptTest.java
@@ -82,6 +82,17 @@
         assertFalse(nowhere.succeeded());
     }
 
+    @Test
+    void whatWasLearnedIsReadAgainAndAnythingElseIsNothing() throws IOException {
+        Kept kept = new Kept(folder, "n1");
+        assertEquals(0, kept.learned().length);
+        kept.learned(new double[] {0, 0.25, 46});
+        assertTrue(Arrays.equals(new double[] {0, 0.25, 46}, new Kept(folder, "n1").learned()));
+        Files.writeString(file("learned"), "0.25\nmany\n");
+        assertEquals(0, kept.learned().length);
+        new Kept(folder.resolve("no such folder"), "n1").learned(new double[] {1});
+    }
+
     @Test
     void onlyAnotherProcessThatRunsHasTakenOver() throws Exception {
         Kept kept = new Kept(folder, "n1");
--- a/relay/src/test/java/asterpulley/serve/OperatorsTest.java
+++ b/relay/src/test/java/asterpulley/serve/OperatorsTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -15,6 +17,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -399,6 +402,39 @@
         assertEquals(503, call("POST", "resume").status, "resume while leaving");
     }
 
+    @Test
+    void whoWaitsInTheQueueWhenAnotherProcessHasTakenOverIsTakenAndAnswered() throws Exception {
+        Backend b = new Backend();
+        startWithDoor(b.entry("s1", "up"));
+        Process other = new ProcessBuilder("sleep", "60").start();
+        open.add(other::destroyForcibly);
+        Files.writeString(kept().resolve("asterpulley-n1.serving"), other.pid() + "\n");
+        CountDownLatch connected = new CountDownLatch(1);
+        // The loop is held, so that nobody is accepted between the clients' connects and the end.
+        serve.counted(book -> {
+            try {
+                connected.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<End> clients = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            clients.add(client("chat", 2000));
+        }
+        serve.end();
+        connected.countDown();
+        for (int i = 0; i < 6; i++) {
+            b.opens();
+        }
+        for (End client : clients) {
+            assertEquals("UP r1", client.line());
+        }
+        InetSocketAddress gone = serve.address();
+        assertThrows(IOException.class, () -> new Socket(gone.getAddress(), gone.getPort()).close(),
+                "and nobody new comes here");
+    }
+
     @Test
     void withoutAnOperatorNoDoorOpensAndNothingIsKept() throws Exception {
         start(new Backend().entry("s1", "up"));
--- a/relay/src/test/java/asterpulley/serve/UpgradeTest.java
+++ b/relay/src/test/java/asterpulley/serve/UpgradeTest.java
@@ -206,7 +206,11 @@
         open.add(standing);
         standing.say("OPEN c1 7f3a c=chat,t=acme,d=2000\r\n");
         assertEquals("UP r1", standing.line());
+        while (!Files.exists(folder.resolve("asterpulley-n1.learned"))) {
+            Thread.sleep(5);
+        }
         Relay next = new Relay(b).ready();
+        assertTrue(Files.readString(next.log).contains("taken over: what another process had learned"));
         old.leave();
         assertEquals("MOVE", standing.line());
         assertEquals(null, tries("c2"));
