--- a/cli/src/main/java/asterpulley/cli/RelayFile.java
+++ b/cli/src/main/java/asterpulley/cli/RelayFile.java
@@ -40,6 +40,9 @@
         if (!zones.contains(zone)) {
             root.wrong("zone", "'" + zone + "' is none of zones", null);
         }
+        if (root.has("operator")) {
+            config.put("operator", address(root, "operator", "127.0.0.1:1"));
+        }
         Part list = root.part("list");
         if (list.has("discovery")) {
             config.put("discovery", address(list, "discovery", "127.0.0.1:1"));
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -145,7 +145,8 @@
             return;
         }
         door.open(config.operator, transport);
-        LOG.info("operators are answered at " + text(door.address()));
+        LOG.info("operators are answered at " + text(door.address())
+                + (kept == null ? "; TMPDIR is not set, so cordons end with this process and an upgrade is not seen" : ""));
         try {
             if (config.discovery != null && !current.await((long) (CATCH_UP * 1000), TimeUnit.MILLISECONDS)) {
                 LOG.info("no news of the list in " + CATCH_UP + " s, serving by the one at hand");
