--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -80,14 +80,15 @@
     private double strangers = 1, largest = 2 * SMALLEST;
     private String[] ep = {};
     private int[] zone = {}, model = {}, cell = {}, silence = {};
-    private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {}, eased = {}, out = {}, owed = {};
+    private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {}, eased = {};
+    private boolean[] out = {}, owed = {};
     private double[] load = {}, extra = {}, placed = {}, own = {};
     private double[] startedAt = {}, seekAt = {}, seenAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
     private double[] good = {}, bad = {}, coldCredit = {}, drainedAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
     private final List<Tunnel> waiting = new ArrayList<>();
     private final List<ArrayDeque<Placement>> recent = new ArrayList<>();
-    /** What operators leave out, whatever the list says; names, since one may not be listed yet or any more. */
+    /** What operators leave out, whatever the list says; by name, since it may not be listed now. */
     private Set<String> cordoned = Set.of();
     private final Map<String, int[]> groups = new HashMap<>();
     private final Map<String, int[]> orders = new HashMap<>();
@@ -425,8 +426,9 @@
                 continue;
             }
             // Who put it back wants to see it used: it gets one tunnel before others that stand lower.
-            f = owed[s] && seenAt[s] > startedAt[s] ? -1 : f + (units + (holds ? 0 : GROUP_COST)) / capacity(s)
+            f += (units + (holds ? 0 : GROUP_COST)) / capacity(s)
                     + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
+            f = owed[s] && seenAt[s] > startedAt[s] ? -1 : f;
             if (f >= low + 1e-9 || !front.may(tun, s, ep[s])) {
                 continue;
             }
@@ -592,7 +594,8 @@
         good[s] *= KEEP;
         bad[s] *= KEEP;
         if (cold(s, now)) {
-            coldCredit[s] = Math.min(Math.max(1, coldPart(s) / 2), coldCredit[s] + coldPart(s) / set.coldTime * TIMER);
+            double grown = coldCredit[s] + coldPart(s) / set.coldTime * TIMER;
+            coldCredit[s] = Math.min(Math.max(1, coldPart(s) / 2), grown);
         }
     }
 
@@ -913,7 +916,7 @@
         return index.containsKey(server) || cordoned.contains(server);
     }
 
-    /** True where new tunnels may go by the list and the operators, whatever this relay thinks of that server. */
+    /** True where new tunnels may go by the list and the operators, whatever is thought of it here. */
     public boolean allowed(String server) {
         Integer s = index.get(server);
         return s != null && running[s] && !out[s];
