Half of a cold part at once only where reports tell what a server holds; new score parts decoded

Cause: restarted() granted half of a part of a capacity that is only known where reports tell tunnels held; parma tells none, so a server that fills at 13 mean loads is taken for one of 25 (SMALLEST), and its cold part for twice what it is. Change: the grant and what may be saved up as before where reports do not tell. The settings scoreParts.logLossPart and topNines are read by the one decoder of drill and serve; a wrong value is told with its place.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -595,7 +595,8 @@
         bad[s] *= KEEP;
         if (cold(s, now)) {
             double grown = coldCredit[s] + coldPart(s) / set.coldTime * TIMER;
-            coldCredit[s] = Math.min(Math.max(1, coldPart(s) / 2), grown);
+            double most = coldPart(s) * (heldTold ? 0.5 : set.fallTime / set.coldTime);
+            coldCredit[s] = Math.min(Math.max(1, most), grown);
         }
     }
 
@@ -933,8 +934,8 @@
 
     private void restarted(int s, double at) {
         startedAt[s] = at;
-        // Half of what it can bear right away, the rest as it warms; a fraction of one tunnel is drawn.
-        coldCredit[s] = coldPart(s) / 2 + random.nextDouble();
+        // Half of what it can bear right away, where reports tell what that is; a fraction of one tunnel is drawn.
+        coldCredit[s] = (heldTold ? coldPart(s) / 2 : 0) + random.nextDouble();
         silence[s] = 0;
         full[s] = false;
         load[s] = good[s] = bad[s] = 0;
--- a/core/src/main/java/asterpulley/Settings.java
+++ b/core/src/main/java/asterpulley/Settings.java
@@ -38,6 +38,9 @@
     public double crossingFee;
     public double probeFee;
     public double excessCredit = 1;
+    /** The part of the result that counts nines of what is served, and how many earn it in full. */
+    public double ninesPart;
+    public double ninesFull = 3;
     public boolean groupsShareWork;
     /** Packets pass through, so that a tunnel may change relays while it stands. */
     public boolean packetsPass;
--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -224,6 +224,7 @@
             Report report = new Report();
             if (!silent) {
                 report.load = number(s, "load", 0);
+                report.held = number(s, "held", Double.NaN);
             }
             balance.probed(ep, silent ? Outcome.TIMED_OUT : Outcome.OK, report);
         });
--- a/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
+++ b/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
@@ -41,9 +41,23 @@
         s.fallTime = Json.number(rules, "fallMs", 1000 * s.fallTime) / 1000;
         s.crossingFee = Json.number(fees, "crossZone", 0);
         s.probeFee = Json.number(fees, "probe", 0);
+        s.ninesPart = placed(in, "scoreParts", "logLossPart", 0);
+        s.ninesFull = placed(in, "scoreParts", "topNines", s.ninesFull);
+        if (!(s.ninesPart >= 0 && s.ninesPart <= 1) || !(s.ninesFull > 0)) {
+            throw new Json.Malformed("scoreParts: logLossPart is from 0 to 1, topNines above 0; they are "
+                    + s.ninesPart + " and " + s.ninesFull);
+        }
         return s;
     }
 
+    private static double placed(Map<String, Object> in, String part, String name, double missing) {
+        try {
+            return Json.number(Json.part(in, part), name, missing);
+        } catch (Json.Malformed e) {
+            throw new Json.Malformed(part + ": " + e.getMessage());
+        }
+    }
+
     /** The names of a list in the settings, by their places; entries are names, or have one. */
     public static Map<String, Integer> places(Map<String, Object> settings, String list) {
         Map<String, Integer> places = new HashMap<>();
--- /dev/null
+++ b/decode/src/test/java/asterpulley/decode/SettingsDecoderTest.java
@@ -0,0 +1,39 @@
+package asterpulley.decode;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import asterpulley.Settings;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The settings as they are told: what is new, what is missing, and what is wrong. */
+class SettingsDecoderTest {
+    private static Settings with(Object scoreParts) {
+        return SettingsDecoder.settings(Map.of("profiles", List.of(Map.of("name", "live")), "scoreParts", scoreParts));
+    }
+
+    @Test
+    void theNewScorePartsAreReadAndOldSettingsAreAsBefore() {
+        Settings s = with(Map.of("whole", 0.1, "logLossPart", 0.3, "topNines", 2));
+        assertEquals(0.3, s.ninesPart);
+        assertEquals(2, s.ninesFull);
+        Settings old = with(Map.of("whole", 0.3, "worstTenant", 0.4));
+        assertEquals(0, old.ninesPart);
+        assertEquals(3, old.ninesFull);
+        assertEquals("live", old.profiles.get(0).name);
+        assertEquals(0, SettingsDecoder.settings(Map.of("profiles", List.of())).ninesPart);
+    }
+
+    @Test
+    void whatIsWrongIsToldWithItsPlace() {
+        for (Map<String, Object> wrong : List.<Map<String, Object>>of(Map.of("logLossPart", "much"), Map.of("topNines", List.of()),
+                Map.of("logLossPart", 1.5), Map.of("topNines", 0), Map.of("logLossPart", -0.1))) {
+            String told = assertThrows(Json.Malformed.class, () -> with(wrong)).getMessage();
+            assertTrue(told.contains("scoreParts") && told.contains(wrong.keySet().iterator().next()), told);
+        }
+        assertTrue(assertThrows(Json.Malformed.class, () -> with("many")).getMessage().contains("scoreParts"));
+    }
+}
