One check of a call's method, and one place for what list and operators allow

The door compared the method in six branches of one switch; whether a server runs and is not left out was spelled three times in the module. Change: the door picks what is asked, then checks the method once; Balance.wanted serves ready, woke and allowed.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -508,7 +508,12 @@
     // ---- Servers
 
     private boolean ready(int s) {
-        return running[s] && !offline[s] && !out[s];
+        return wanted(s) && !offline[s];
+    }
+
+    /** By the list and the operators, whatever is thought of it here. */
+    private boolean wanted(int s) {
+        return running[s] && !out[s];
     }
 
     private boolean isFull(int s) {
@@ -813,7 +818,7 @@
             age(s, now);
             largest = Math.max(largest, warmCapacity(s));
             relieve(s);
-            if (running[s] && !out[s] && seekAt[s] <= now && set.probesAllowed) {
+            if (wanted(s) && seekAt[s] <= now && set.probesAllowed) {
                 seek(s);
             }
         }
@@ -920,7 +925,7 @@
     /** True where new tunnels may go by the list and the operators, whatever is thought of it here. */
     public boolean allowed(String server) {
         Integer s = index.get(server);
-        return s != null && running[s] && !out[s];
+        return s != null && wanted(s);
     }
 
     /** How many servers the list has; of them, those that get nothing new from here for now. */
--- a/relay/src/main/java/asterpulley/door/Door.java
+++ b/relay/src/main/java/asterpulley/door/Door.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
@@ -174,20 +175,25 @@
         }
         String wants = path.equals("/admin/health") || path.equals("/admin/stats") ? "GET" : "POST";
         String id = named;
-        Desk.Answer answer = switch (path) {
-            case "/admin/health" -> asked(method, wants) ? desk.health() : null;
-            case "/admin/stats" -> asked(method, wants) ? desk.stats() : null;
-            case "/admin/cordon/" -> asked(method, wants) ? desk.cordon(id) : null;
-            case "/admin/uncordon/" -> asked(method, wants) ? desk.uncordon(id) : null;
-            case "/admin/quiesce" -> asked(method, wants) ? desk.quiesce() : null;
-            case "/admin/resume" -> asked(method, wants) ? desk.resume() : null;
-            default -> new Desk.Answer(Desk.Kind.UNKNOWN, "no such call: " + path);
+        Supplier<Desk.Answer> asked = switch (path) {
+            case "/admin/health" -> desk::health;
+            case "/admin/stats" -> desk::stats;
+            case "/admin/cordon/" -> () -> desk.cordon(id);
+            case "/admin/uncordon/" -> () -> desk.uncordon(id);
+            case "/admin/quiesce" -> desk::quiesce;
+            case "/admin/resume" -> desk::resume;
+            default -> null;
         };
-        if (answer == null) {
+        if (asked == null) {
+            answer(ctx, call, caller, 404, "no such call: " + path);
+            return;
+        }
+        if (!method.equals(wants)) {
             call.getResponse().setHeader("Allow", wants);
             answer(ctx, call, caller, 405, path + " is called with " + wants);
             return;
         }
+        Desk.Answer answer = asked.get();
         int status = switch (answer.kind()) {
             case YES -> 200;
             case UNKNOWN -> 404;
@@ -198,10 +204,6 @@
         answer(ctx, call, caller, status, answer.text());
     }
 
-    private static boolean asked(String method, String wants) {
-        return method.equals(wants);
-    }
-
     private void answer(FilterChainContext ctx, HttpRequestPacket call, Caller caller, int status, String text) {
         caller.answeredAt = loop.now();
         HttpResponsePacket response = call.getResponse();
