Window on setups: a relay's part of the fleet, narrowed when setups open late

Ruled out: full servers (loads above), cold budgets (none cold then), own CPU (0.5 s peak). At fault: Balance.WINDOW let each of 14 relays have 8 out at once; 'soon' gave setups up at 0.15 to 0.4 s while they took 0.8, and the tries that followed lengthened the queue (congestion collapse); judge() took the failures of the lost zone's servers for a shared cause at the relays that were left (window 1 to 4, 'sh true' with three idle servers). Change: the window starts at two a listed server divided by the siblings; a setup that opens after half its goal narrows it; a tunnel that finds it closed waits at most 0.4 of its goal for room; a setup given up at a server that answers its seek teaches patience; a server whose seek is unanswered counts for no shared cause.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -58,8 +58,10 @@
     private static final double RECENT = 3;
     /** A server whose messages are told to take long is full so long; that is told once a second. */
     private static final double SLOW_REST = 1.2;
-    /** Setups out at once to begin with: a returning crowd must not flood what stands behind setups. */
-    private static final double WINDOW = 8;
+    /** The most setups out at once to begin with, and how many a listed server, for all relays together. */
+    private static final double WINDOW = 8, WINDOW_A_SERVER = 2;
+    /** A setup that took this part of its goal says that they queue behind the servers. */
+    private static final double QUEUED = 0.5;
     private static final double WIDEST_WINDOW = 64;
     /** Mean loads that fill a small server, taken while this relay holds too few tunnels to learn it. */
     private static final double SMALLEST = 25;
@@ -81,10 +83,10 @@
     private String[] ep = {};
     private int[] zone = {}, model = {}, cell = {}, silence = {};
     private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {}, eased = {};
-    private boolean[] out = {}, owed = {};
+    private boolean[] out = {}, owed = {}, unheard = {};
     private double[] load = {}, extra = {}, placed = {}, own = {};
     private double[] startedAt = {}, seekAt = {}, seenAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
-    private double[] good = {}, bad = {}, coldCredit = {}, drainedAt = {};
+    private double[] good = {}, bad = {}, coldCredit = {}, drainedAt = {}, waitedAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
     private final List<Tunnel> waiting = new ArrayList<>();
     private final List<ArrayDeque<Placement>> recent = new ArrayList<>();
@@ -98,7 +100,7 @@
     private int ownOpen, inFlight;
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
-    private double arrivals = 1, arrivalsAt, listBackOff = 0.5, window = WINDOW, windowCutAt, fullAt;
+    private double arrivals = 1, arrivalsAt, listBackOff = 0.5, start = 1, window = 1, windowCutAt, fullAt;
     private boolean declining, shared, heldTold;
     private double moveCredit = 5;
 
@@ -158,9 +160,9 @@
             stand(this, s);
             inFlight--;
             silence[s] = 0;
-            worked(s);
-            setupLagSpread += 0.1 * (Math.abs(lag - setupLag) - setupLagSpread);
-            setupLag += 0.1 * (lag - setupLag);
+            worked(s, lag <= QUEUED * kind.setupGoal);
+            lagged(lag, 0.1);
+            settle();
         }
 
         public void load(double cores) {
@@ -203,7 +205,8 @@
             inFlight--;
             if (outcome == Outcome.OK) {
                 done = true;
-                worked(s);
+                worked(s, true);
+                settle();
                 return;
             }
             if (!outcome.provesNotRun && !mayHaveRun) {
@@ -211,11 +214,13 @@
                 ranOn = s;
                 ranAt = sentAt;
             }
+            waitedAt[s] = outcome == Outcome.TIMED_OUT ? Math.max(waitedAt[s], lag) : waitedAt[s];
             failed(s, outcome);
             done |= last;
             if (!done) {
                 place(this);
             }
+            settle();
         }
 
         /** The client left, or the answer is overdue. */
@@ -299,6 +304,12 @@
             giveUp(tun);
             return;
         }
+        if (inFlight >= window && now - tun.since < SEEK_WAIT * tun.kind.setupGoal) {
+            // A setup that ends in time makes room for this one.
+            tun.sought.clear();
+            waiting.add(tun);
+            return;
+        }
         boolean barred = shared && tun.setups > 0 || inFlight >= window;
         if (!barred && set.probesAllowed && seekFirst(tun)) {
             return;
@@ -480,8 +491,8 @@
     /** Tunnels go on when what they sought is told, or was waited for long enough. */
     private void settle() {
         for (Tunnel tun : List.copyOf(waiting)) {
-            if (tun.done || front.now() - tun.since > SEEK_WAIT * tun.kind.setupGoal
-                    || tun.sought.stream().noneMatch(s -> seeking[s])) {
+            if (tun.done || front.now() - tun.since >= SEEK_WAIT * tun.kind.setupGoal
+                    || inFlight < window && tun.sought.stream().noneMatch(s -> seeking[s])) {
                 waiting.remove(tun);
                 if (!tun.done) {
                     place(tun);
@@ -611,14 +622,31 @@
         recent.get(s).add(new Placement(front.now(), step));
     }
 
-    private void worked(int s) {
+    private void worked(int s, boolean inTime) {
         good[s]++;
         workedAt[s] = front.now();
-        double widest = 2 * inFlight >= window ? WIDEST_WINDOW : WINDOW;
-        window = Math.max(window, Math.min(widest, window + 1 / window));
+        double widest = 2 * inFlight >= window ? WIDEST_WINDOW : start;
+        if (inTime) {
+            window = Math.max(window, Math.min(widest, window + 1 / window));
+        } else {
+            narrow();
+        }
         judge();
     }
 
+    /** Fewer setups at once until they succeed in time again; a cut at most twice a second. */
+    private void narrow() {
+        if (front.now() - windowCutAt > 0.5) {
+            window = Math.max(1, Math.min(window, inFlight + 1) * 0.7);
+            windowCutAt = front.now();
+        }
+    }
+
+    private void lagged(double lag, double weight) {
+        setupLagSpread += weight * (Math.abs(lag - setupLag) - setupLagSpread);
+        setupLag += weight * (lag - setupLag);
+    }
+
     private double chance(int s) {
         return (1 + good[s]) / (1 + good[s] + bad[s]);
     }
@@ -633,10 +661,7 @@
         judge();
         if (shared) {
             // What the servers share is overloaded: fewer setups at once until they succeed again.
-            if (now - windowCutAt > 0.5) {
-                window = Math.max(1, Math.min(window, inFlight + 1) * 0.7);
-                windowCutAt = now;
-            }
+            narrow();
             return;
         }
         bad[s]++;
@@ -650,7 +675,7 @@
         int failing = 0;
         int seen = 0;
         for (int s = 0; s < n; s++) {
-            boolean tried = ready(s) && Math.max(failedAt[s], workedAt[s]) > since;
+            boolean tried = ready(s) && !unheard[s] && Math.max(failedAt[s], workedAt[s]) > since;
             seen += tried ? 1 : 0;
             failing += tried && failedAt[s] > workedAt[s] ? 1 : 0;
         }
@@ -665,6 +690,7 @@
     /** An unanswered seek; failed setups count too, but only a seek's silence takes a server offline. */
     private void silent(int s) {
         silence[s]++;
+        unheard[s] = true;
         if (silence[s] >= SILENT && !offline[s]) {
             offline[s] = true;
             front.log("offline " + ep[s] + " after " + silence[s] + " silences, own " + held.get(s).size());
@@ -750,7 +776,13 @@
                 restarted(s, now);
             }
         }
+        if (waitedAt[s] > 0) {
+            // A setup was given up there, yet it answers: setups take that long at the least, for all servers.
+            lagged(waitedAt[s], 0.5);
+            waitedAt[s] = 0;
+        }
         silence[s] = 0;
+        unheard[s] = false;
         full[s] = false;
         seenAt[s] = now;
         double seen = !Double.isNaN(report.load) ? report.load : report.busy;
@@ -849,6 +881,12 @@
             listed[s] &= named[s];
         }
         listBackOff = 0.5;
+        int up = 0;
+        for (int s = 0; s < n; s++) {
+            up += wanted(s) ? 1 : 0;
+        }
+        start = Math.max(1, Math.min(WINDOW, WINDOW_A_SERVER * up / set.siblings));
+        window = windowCutAt == 0 ? Math.max(window, start) : window;
     }
 
     /** Asking the list failed or its changes stopped coming: ask again, later each time. */
@@ -963,6 +1001,7 @@
             eased = Arrays.copyOf(eased, m);
             out = Arrays.copyOf(out, m);
             owed = Arrays.copyOf(owed, m);
+            unheard = Arrays.copyOf(unheard, m);
             load = Arrays.copyOf(load, m);
             extra = Arrays.copyOf(extra, m);
             placed = Arrays.copyOf(placed, m);
@@ -977,6 +1016,7 @@
             good = Arrays.copyOf(good, m);
             bad = Arrays.copyOf(bad, m);
             coldCredit = Arrays.copyOf(coldCredit, m);
+            waitedAt = Arrays.copyOf(waitedAt, m);
         }
         ep[n] = server;
         out[n] = cordoned.contains(server);
--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -19,6 +19,7 @@
     private final Map<Long, Balance.Tunnel> tunnels = new HashMap<>();
     private final Map<Long, String> last = new HashMap<>();
     private final Map<Long, Integer> setups = new HashMap<>();
+    private final Map<Long, Double> patience = new HashMap<>(), sentAt = new HashMap<>();
     private final Map<String, Integer> sentTo = new HashMap<>();
     private final Map<String, Integer> sought = new HashMap<>();
     private final List<String> log = new ArrayList<>();
@@ -112,10 +113,11 @@
                             by.get("key"), by.get("on")));
                 }
             }
-            case "opened" -> tunnels.get(Long.parseLong(w[1])).opened(0, 0.02);
+            case "opened" -> tunnels.get(Long.parseLong(w[1])).opened(0, w.length > 2 ? Double.parseDouble(w[2]) : 0.02);
             case "ended" -> {
                 last.remove(Long.parseLong(w[1]));
-                tunnels.get(Long.parseLong(w[1])).ended(0, Outcome.valueOf(w[2].toUpperCase()), 0.1, w.length > 3);
+                tunnels.get(Long.parseLong(w[1])).ended(0, Outcome.valueOf(w[2].toUpperCase()),
+                        now - sentAt.getOrDefault(Long.parseLong(w[1]), now), w.length > 3);
             }
             case "slow" -> tunnels.get(Long.parseLong(w[1])).delay(w.length > 2 ? Double.parseDouble(w[2]) : 0.4);
             case "withdrawn" -> tunnels.get(Long.parseLong(w[1])).withdrawn();
@@ -134,6 +136,7 @@
                 int limit = Integer.parseInt(w[4]);
                 check(w[3].equals("most") ? sent <= limit : sent >= limit, "sent " + sentTo);
             }
+            case "patience" -> check(patience.get(Long.parseLong(w[2])) >= Double.parseDouble(w[4]), "is " + patience);
             case "over" -> check(tunnels.get(Long.parseLong(w[2])).over(), "not over");
             default -> {
                 String is = last.getOrDefault(Long.parseLong(w[2]), "nothing");
@@ -191,6 +194,8 @@
     @Override
     public void setup(Balance.Tunnel tun, String ep, double timeout) {
         result(tun, "setup " + ep);
+        patience.put(tun.id, timeout);
+        sentAt.put(tun.id, now);
         sentTo.merge(ep, 1, Integer::sum);
         check(timeout > 0 && setups.merge(tun.id, 1, Integer::sum) <= set.mostSetups, "setups or time-out wrong");
         if (opens) {
--- a/relay/src/test/java/asterpulley/serve/OperatorsTest.java
+++ b/relay/src/test/java/asterpulley/serve/OperatorsTest.java
@@ -217,6 +217,9 @@
             assertEquals(200, call("GET", i % 2 == 0 ? "stats" : "health").status);
             took[i] = (System.nanoTime() - since) / 1e9;
         }
+        for (int waits = 0; answered.get() <= 300 && waits < 500; waits++) {
+            Thread.sleep(20);
+        }
         assertFalse(over.getAndSet(true), "the load went on");
         for (Thread one : load) {
             one.join();
