Cold servers' parts renewed by each report; patience where a server answered just now

At fault: coldPart() was spent once and grew with the warm-up only, so a relay with traffic used up what the others left; 'soon' in place(). Change: a report of a cold server renews the part by what is left until half of what it bears, less own placements of the last second; a setup at a server that answered a seek within 0.4 s is waited for.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -327,7 +327,9 @@
         // Leaves room for a further setup within the goal, but never less than setups take these days.
         double goalLeft = tun.since + tun.kind.setupGoal - now;
         double soon = Math.max(goalLeft / 2, setupLag + 4 * setupLagSpread);
-        send(tun, s, shared || goalLeft <= 0 ? left : Math.min(left, soon));
+        // A server that answered just now lives: what keeps a setup there stands behind all of them.
+        boolean lives = now - seenAt[s] < FASTEST_SEEK;
+        send(tun, s, shared || lives || goalLeft <= 0 ? left : Math.min(left, soon));
     }
 
     private void send(Tunnel tun, int s, double timeout) {
@@ -777,7 +779,7 @@
             }
         }
         if (waitedAt[s] > 0) {
-            // A setup was given up there, yet it answers: setups take that long at the least, for all servers.
+            // A setup was given up there, yet it answers: setups take that long, at any server.
             lagged(waitedAt[s], 0.5);
             waitedAt[s] = 0;
         }
@@ -796,6 +798,12 @@
                 extra[s] += unseen * p.step;
                 placed[s] += unseen * Math.max(0, p.step);
             }
+            if (cold(s, now)) {
+                // It is told what stands there: our part of what is left of half that it bears may follow.
+                double part = (set.fallMultiple / 2 - seen) * capacity(s) / set.siblings
+                        - recent.get(s).stream().filter(p -> p.step > 0).count();
+                coldCredit[s] = Math.max(coldCredit[s], random.nextDouble() < part ? Math.max(1, part) : 0);
+            }
             if (!cold(s, now) && running[s]) {
                 heldTold |= report.held >= 0;
                 learn(model[s], report.held, seen);
@@ -977,7 +985,7 @@
 
     private void restarted(int s, double at) {
         startedAt[s] = at;
-        // Half of what it can bear right away, where reports tell what that is; a fraction of one tunnel is drawn.
+        // Half of what it can bear right away, where reports tell what that is; part of a tunnel is drawn.
         coldCredit[s] = (heldTold ? coldPart(s) / 2 : 0) + random.nextDouble();
         silence[s] = 0;
         full[s] = false;
