--- a/relay/src/test/java/asterpulley/serve/ServeTest.java
+++ b/relay/src/test/java/asterpulley/serve/ServeTest.java
@@ -443,7 +443,9 @@
         assertEquals(1, counted("ended_move"));
         assertEquals(1, counted("moved_silent"));
         assertTrue(System.nanoTime() - since < 4.9e9, "the silence may be 2 s older than the line");
-        assertEquals(3, counted("lines_unanswered"), "the module heard of it from 1.1 s on");
+        // At 1.1, 2.2 and 3.3 s; the last falls away where no sweep, one in 0.25 s, comes before the move at 3.5 s.
+        long told = counted("lines_unanswered");
+        assertTrue(told == 2 || told == 3, "the module heard of it from 1.1 s on, " + told + " times");
     }
 
     @Test
