Budget of further setups: a ledger where setups leave; settings of the wire passed on

Cause: nothing read rules.budgetFree, furtherRatio and lookBackMs.

Ledger slides a window over tunnels taken and further setups sent; Balance.send is the only place from which a setup leaves and books there, so no path goes round it. The relay's configuration and the simulator's settings go through the same decoder; absent keys bind nothing, values of the wrong kind are told with 'rules' and their name.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -75,6 +75,7 @@
     private final Settings set;
     private final Front front;
     private final Random random;
+    private final Ledger ledger;
 
     private final Map<String, Integer> index = new HashMap<>();
     private final Map<String, Integer> holders = new HashMap<>();
@@ -111,6 +112,7 @@
         this.set = set;
         this.front = front;
         this.random = new Random(seed);
+        this.ledger = new Ledger(set);
         profileLoad = new double[set.profiles.size()];
         profileSeen = new double[set.profiles.size()];
         customerOpen = new int[Math.max(1, set.shares.size())];
@@ -235,6 +237,7 @@
             boolean midFlow) {
         Tunnel tun = new Tunnel(id, profile, customer, group, key, budget);
         double now = front.now();
+        ledger.took(now);
         arrivals = arrivals * Math.exp(-(now - arrivalsAt) / 10) + 0.1;
         arrivalsAt = now;
         Integer holder = midFlow && key != null ? holders.get(key) : null;
@@ -300,7 +303,7 @@
     private void place(Tunnel tun) {
         double now = front.now();
         double left = tun.deadline - now - 2 * set.tick;
-        if (tun.setups >= set.mostSetups || left <= set.tick) {
+        if (tun.setups >= set.mostSetups || left <= set.tick || tun.setups > 0 && ledger.left(now) < 1) {
             giveUp(tun);
             return;
         }
@@ -333,6 +336,11 @@
     }
 
     private void send(Tunnel tun, int s, double timeout) {
+        // Every setup leaves here, so none goes past the budget.
+        if (tun.setups > 0 && !ledger.spend(front.now())) {
+            giveUp(tun);
+            return;
+        }
         tun.setups++;
         tun.out = s;
         inFlight++;
--- a/core/src/main/java/asterpulley/Settings.java
+++ b/core/src/main/java/asterpulley/Settings.java
@@ -35,6 +35,8 @@
     public double coldTime = 20;
     public double fallMultiple = 2;
     public double fallTime = 1;
+    /** Further setups within any {@link #lookBack} seconds: so many, and so many for each tunnel taken; 0 s: no budget. */
+    public double budgetFree, furtherRatio, lookBack;
     public double crossingFee;
     public double probeFee;
     public double excessCredit = 1;
--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -115,9 +115,11 @@
             }
             case "opened" -> tunnels.get(Long.parseLong(w[1])).opened(0, w.length > 2 ? Double.parseDouble(w[2]) : 0.02);
             case "ended" -> {
-                last.remove(Long.parseLong(w[1]));
-                tunnels.get(Long.parseLong(w[1])).ended(0, Outcome.valueOf(w[2].toUpperCase()),
-                        now - sentAt.getOrDefault(Long.parseLong(w[1]), now), w.length > 3);
+                for (long id = Long.parseLong(w[1]); id < Long.parseLong(w[1]) + number(by, "count", 1); id++) {
+                    last.remove(id);
+                    tunnels.get(id).ended(0, Outcome.valueOf(w[2].toUpperCase()),
+                            now - sentAt.getOrDefault(id, now), w.length > 3 && w[3].equals("last"));
+                }
             }
             case "slow" -> tunnels.get(Long.parseLong(w[1])).delay(w.length > 2 ? Double.parseDouble(w[2]) : 0.4);
             case "withdrawn" -> tunnels.get(Long.parseLong(w[1])).withdrawn();
@@ -136,6 +138,11 @@
                 int limit = Integer.parseInt(w[4]);
                 check(w[3].equals("most") ? sent <= limit : sent >= limit, "sent " + sentTo);
             }
+            case "further" -> {
+                int further = setups.values().stream().mapToInt(k -> k - 1).sum();
+                check(w[2].equals("most") ? further <= Integer.parseInt(w[3]) : further >= Integer.parseInt(w[3]),
+                        "further setups " + further);
+            }
             case "patience" -> check(patience.get(Long.parseLong(w[2])) >= Double.parseDouble(w[4]), "is " + patience);
             case "over" -> check(tunnels.get(Long.parseLong(w[2])).over(), "not over");
             default -> {
--- a/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
+++ b/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
@@ -39,6 +39,13 @@
         s.coldTime = Json.number(rules, "coldMs", 1000 * s.coldTime) / 1000;
         s.fallMultiple = Json.number(rules, "fallMultiple", s.fallMultiple);
         s.fallTime = Json.number(rules, "fallMs", 1000 * s.fallTime) / 1000;
+        s.budgetFree = placed(in, "rules", "budgetFree", 0);
+        s.furtherRatio = placed(in, "rules", "furtherRatio", 0);
+        s.lookBack = placed(in, "rules", "lookBackMs", 0) / 1000;
+        if (!(s.budgetFree >= 0) || !(s.furtherRatio >= 0) || !(s.lookBack >= 0)) {
+            throw new Json.Malformed("rules: budgetFree, furtherRatio and lookBackMs are 0 or above; they are "
+                    + s.budgetFree + ", " + s.furtherRatio + " and " + 1000 * s.lookBack);
+        }
         s.crossingFee = Json.number(fees, "crossZone", 0);
         s.probeFee = Json.number(fees, "probe", 0);
         s.ninesPart = placed(in, "scoreParts", "logLossPart", 0);
--- a/decode/src/test/java/asterpulley/decode/SettingsDecoderTest.java
+++ b/decode/src/test/java/asterpulley/decode/SettingsDecoderTest.java
@@ -36,4 +36,22 @@
         }
         assertTrue(assertThrows(Json.Malformed.class, () -> with("many")).getMessage().contains("scoreParts"));
     }
+
+    private static Settings ruled(Object rules) {
+        return SettingsDecoder.settings(Map.of("profiles", List.of(), "rules", rules));
+    }
+
+    @Test
+    void aBudgetOfFurtherSetupsIsReadAndBindsNothingWhereItIsAbsent() {
+        Settings s = ruled(Map.of("budgetFree", 2.0, "furtherRatio", 0.05, "lookBackMs", 5000));
+        assertEquals(2, s.budgetFree);
+        assertEquals(0.05, s.furtherRatio);
+        assertEquals(5, s.lookBack);
+        assertEquals(0, ruled(Map.of("fallMultiple", 2)).lookBack);
+        for (Map<String, Object> wrong : List.<Map<String, Object>>of(Map.of("budgetFree", "few"), Map.of("lookBackMs", true),
+                Map.of("furtherRatio", -0.1), Map.of("lookBackMs", List.of()))) {
+            String told = assertThrows(Json.Malformed.class, () -> ruled(wrong)).getMessage();
+            assertTrue(told.contains("rules") && told.contains(wrong.keySet().iterator().next()), told);
+        }
+    }
 }
