A cold server is filled by load, and renewed by reports only where they tell what it holds

Ruled out: relays not told yet (all 23 were told at 40.99 to 41.24 s), renewal by an offline server's return (none offline), the budget of setups. Lines at fault: send (coldCredit -= 1 whatever the load) and told (each report grants each relay its part anew, though its siblings read the same old report). A cold server's credit is now booked by load, down to below nothing, and a report renews the part only where reports tell what a server holds, since else what fills it is a guess. Also holds against a hot key or a customer of heavy tunnels; hurts where a fleet without such reports grows under load: it is filled by a part a second.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -349,7 +349,8 @@
         owed[s] = false;
         later(s, step(s, tun));
         if (cold(s, front.now())) {
-            coldCredit[s] -= 1;
+            // By its load: three heavy tunnels among ten may be half of what a cold server bears.
+            coldCredit[s] -= Math.max(1, units(tun.profile, profileLoad[tun.profile]));
         }
         front.setup(tun, ep[s], timeout);
     }
@@ -811,12 +812,12 @@
                 extra[s] += unseen * p.step;
                 placed[s] += unseen * Math.max(0, p.step);
             }
-            if (cold(s, now)) {
+            if (cold(s, now) && heldTold) {
                 // It is told what stands there: our part of what is left of half that it bears may follow.
                 double part = coldPart(s) * (0.5 - seen / set.fallMultiple)
                         - recent.get(s).stream().filter(p -> p.step > 0).count();
                 coldCredit[s] = Math.max(coldCredit[s], random.nextDouble() < part ? Math.max(1, part) : 0);
-            } else if (running[s]) {
+            } else if (running[s] && !cold(s, now)) {
                 heldTold |= report.held >= 0;
                 learn(model[s], report.held, seen);
             }
--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -109,7 +109,7 @@
             }
             case "standing" -> {
                 for (long id = Long.parseLong(w[1]); id < Long.parseLong(w[1]) + number(by, "count", 1); id++) {
-                    tunnels.put(id, balance.standing(id, 0, (int) number(by, "customer", 0), by.get("group"),
+                    tunnels.put(id, balance.standing(id, (int) number(by, "profile", 0), (int) number(by, "customer", 0), by.get("group"),
                             by.get("key"), by.get("on")));
                 }
             }
@@ -121,6 +121,11 @@
                             now - sentAt.getOrDefault(id, now), w.length > 3 && w[3].equals("last"));
                 }
             }
+            case "load" -> {
+                for (long id = Long.parseLong(w[1]); id < Long.parseLong(w[1]) + number(by, "count", 1); id++) {
+                    tunnels.get(id).load(Double.parseDouble(w[2]));
+                }
+            }
             case "slow" -> tunnels.get(Long.parseLong(w[1])).delay(w.length > 2 ? Double.parseDouble(w[2]) : 0.4);
             case "withdrawn" -> tunnels.get(Long.parseLong(w[1])).withdrawn();
             default -> throw new AssertionError("unknown event " + w[0]);
