Where crossing costs less than a further copy a group meets at one place for all zones

Line at fault: best ranks meeting points zone by zone, whatever crossing costs, so a group has five first places at kenya, where a crossing costs 0.01. Now the rank runs over all zones where the crossing's fee in the factor is less than the pull of one rank; both come from settings and learned capacity. Hurts where a zone is cut off for a while: the first meeting point may be there; the next in the order follows.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -420,6 +420,8 @@
         double units = units(tun.profile, profileLoad[tun.profile]);
         int[] in = tun.group == null ? null : groups.getOrDefault(tun.group, new int[0]);
         int[] ranks = new int[zones];
+        // Where crossing costs less than one more server that holds the group, it meets at one place for all zones.
+        boolean one = FEE_TO_FACTOR * set.crossingFee < 0.35 * GROUP_PULL * GROUP_COST / largest;
         // Past this rank the pull alone is above full, on the largest servers too.
         double last = (FULL * largest / (GROUP_PULL * GROUP_COST) - strangers) / 0.35;
         int best = -1;
@@ -431,7 +433,7 @@
             if (!ready(s)) {
                 continue;
             }
-            int rank = ranks[zone[s]]++;
+            int rank = ranks[one ? 0 : zone[s]]++;
             boolean holds = in == null || s < in.length && in[s] > 0;
             if (!holds && rank > last) {
                 continue;
