A rush is let in by part; seeks paid by tunnels that open and by what a silence costs

Lines at fault: seekEvery (min(3 s, ...) whatever it costs; arrivals counts what clients try again) and pick (nothing asks how many siblings see the same room). Now: seeks are paid by the rate of setups that open; servers in use are sought no more often than fee and what a silence costs until it is met make cheapest, at a silence in 300 s a server. A tunnel goes on by chance, room over demand of all siblings in the 0.4 s that reports need; what is over its share is no demand and goes first. Also holds against a returning crowd and a lost room; hurts a single relay's burst, which it takes for everyone's.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -33,6 +33,8 @@
     /** Points of service that steady probes may cost, and the bounds of what that gives. */
     private static final double PROBE_SPEND = 0.01;
     private static final double FASTEST_SEEK = 0.4, SLOWEST_SEEK = 3;
+    /** A server is taken to fall silent once in so many seconds, on the worst days that operators met. */
+    private static final double SILENCE_EVERY = 300;
     /** Servers that this relay does not use are sought this much less often than those it does. */
     private static final double UNUSED = 8;
     /** An older report says too little to place by: the best few are sought before the tunnel goes. */
@@ -70,6 +72,8 @@
     private static final double TIMER = 0.1;
     /** What is left of such evidence after a tick. */
     private static final double KEEP = Math.pow(0.5, TIMER / FORGET);
+    /** Demand is counted over this time, and room for it lasts this long until reports know who took it. */
+    private static final double RUSH = 2, UNKNOWN = 0.4 * REPORT_LAG;
     private static final long SEEK = 0, ASK_LIST = 1;
 
     private final Settings set;
@@ -102,7 +106,8 @@
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
     private double arrivals = 1, arrivalsAt, listBackOff = 0.5, start = 1, window = 1, windowCutAt, fullAt;
-    private boolean declining, shared, heldTold;
+    private double openings = 1, openingsAt, demand = 1, room, roomAt = -1, rushAt;
+    private boolean declining, shared, heldTold, rush;
     private double moveCredit = 5;
 
     private record Placement(double at, double step) {
@@ -133,7 +138,7 @@
         private int setups, ranOn;
         private int out = -1, on = -1;
         private boolean done, moving, mayHaveRun;
-        private double ranAt, sentAt, units, openedAt;
+        private double ranAt, sentAt, units, openedAt, luck = -1;
         private final BitSet tried = new BitSet(), sought = new BitSet();
 
         private Tunnel(long id, int profile, int customer, String group, String key, double budget) {
@@ -162,6 +167,8 @@
             stand(this, s);
             inFlight--;
             silence[s] = 0;
+            openings = openings * Math.exp(-(front.now() - openingsAt) / 10) + 0.1;
+            openingsAt = front.now();
             worked(s, lag <= QUEUED * kind.setupGoal);
             lagged(lag, 0.1);
             settle();
@@ -239,6 +246,7 @@
         double now = front.now();
         ledger.took(now);
         arrivals = arrivals * Math.exp(-(now - arrivalsAt) / 10) + 0.1;
+        demand = demand * Math.exp(-(now - arrivalsAt) / RUSH) + (overShare(tun) ? 0 : 1 / RUSH);
         arrivalsAt = now;
         Integer holder = midFlow && key != null ? holders.get(key) : null;
         if (holder != null && listed[holder]) {
@@ -384,6 +392,11 @@
 
     /** Where this tunnel goes; -1 when there is none with room. */
     private int pick(Tunnel tun) {
+        double part = admitted();
+        tun.luck = part < 1 && tun.luck < 0 ? random.nextDouble() : tun.luck;
+        if (part < 1 && (overShare(tun) || tun.luck > part)) {
+            return -1;
+        }
         BitSet barred = barred(tun);
         for (int s = best(tun, barred); s >= 0; s = best(tun, barred)) {
             if (overShare(tun) && factor(s) > NEAR_FULL) {
@@ -408,6 +421,31 @@
         return -1;
     }
 
+    /**
+     * The part of the tunnels that goes on while all relays are brought more than there is room for, drawn by
+     * each: siblings see the same room until reports know who took it, and fill it many times over.
+     */
+    private double admitted() {
+        double now = front.now();
+        if (now - roomAt >= TIMER) {
+            room = 0;
+            roomAt = now;
+            for (int s = 0; s < n; s++) {
+                if (ready(s) && !isFull(s)) {
+                    room += cold(s, now) ? Math.max(0, coldCredit[s]) * set.siblings
+                            : (FULL - crowd(s)) * capacity(s);
+                }
+            }
+        }
+        double wanted = demand * Math.exp(-(now - arrivalsAt) / RUSH) * (set.siblings - 1) * UNKNOWN;
+        rushAt = room < wanted ? now : rushAt;
+        if (rush != room < wanted && (!rush || now - rushAt > 1)) {
+            rush = !rush;
+            front.log((rush ? "rush: " : "rush over: ") + "room " + (int) room + ", wanted " + (int) wanted);
+        }
+        return wanted > 0 ? room / wanted : 1;
+    }
+
     /** A referenced tunnel that may have run may also go again to the same server, which knows its mark. */
     private BitSet barred(Tunnel tun) {
         boolean again = tun.mayHaveRun && tun.kind.kind == Settings.Kind.REFERENCED;
@@ -420,7 +458,7 @@
         double units = units(tun.profile, profileLoad[tun.profile]);
         int[] in = tun.group == null ? null : groups.getOrDefault(tun.group, new int[0]);
         int[] ranks = new int[zones];
-        // Where crossing costs less than one more server that holds the group, it meets at one place for all zones.
+        // Where crossing costs less than one more server with the group, it meets at one place for all zones.
         boolean one = FEE_TO_FACTOR * set.crossingFee < 0.35 * GROUP_PULL * GROUP_COST / largest;
         // Past this rank the pull alone is above full, on the largest servers too.
         double last = (FULL * largest / (GROUP_PULL * GROUP_COST) - strangers) / 0.35;
@@ -847,13 +885,16 @@
 
     /** Steady seeks, as often as their fee allows; most go to the servers that this relay uses. */
     private double seekEvery(int s) {
-        double often = 0;
+        int uses = 0;
         for (int k = 0; k < n; k++) {
-            often += used(k) ? 1 : 1 / UNUSED;
-        }
-        double paid = often * set.probeFee / (PROBE_SPEND * Math.max(0.2, arrivals));
-        double every = Math.max(paid, n / MOST_SEEKS);
-        return Math.max(FASTEST_SEEK, used(s) ? Math.min(SLOWEST_SEEK, every) : every * UNUSED);
+            uses += used(k) ? 1 : 0;
+        }
+        // The fee is by the tunnels that are set up: what clients try again while declined pays for none.
+        double fee = set.probeFee / Math.max(0.2, openings * Math.exp(-(front.now() - openingsAt) / 10));
+        double every = Math.max((uses + (n - uses) / UNUSED) * fee / PROBE_SPEND, n / MOST_SEEKS);
+        // Fee and what a silence costs until it is met, half an interval, are least together at their root.
+        double slowest = Math.max(SLOWEST_SEEK, Math.sqrt(2 * uses * fee * SILENCE_EVERY));
+        return Math.max(FASTEST_SEEK, used(s) ? Math.min(slowest, every) : every * UNUSED);
     }
 
     private boolean used(int s) {
--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -141,7 +141,7 @@
             case "sent", "sought" -> {
                 int sent = (w[1].equals("sent") ? sentTo : sought).getOrDefault(w[2], 0);
                 int limit = Integer.parseInt(w[4]);
-                check(w[3].equals("most") ? sent <= limit : sent >= limit, "sent " + sentTo);
+                check(w[3].equals("most") ? sent <= limit : sent >= limit, "sent " + sentTo + ", sought " + sought);
             }
             case "further" -> {
                 int further = setups.values().stream().mapToInt(k -> k - 1).sum();
