Few seeks before a decline, none for what a rush leaves out; standing servers sought over 3 s

Line at fault: seekFirst asked every server that is full by own placements whenever nobody was found, also where the pull or a rush was the reason, for each of 80,000 tunnels. Now it asks three, those first in the group's order, and what a rush leaves out is given up before.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -277,7 +277,9 @@
         ownOpen++;
         customerOpen[tun.customer]++;
         held.get(s).add(tun);
-        seekAt[s] = Math.min(seekAt[s], seenAt[s] + SLOWEST_SEEK);
+        // What stands at the start is not sought by all relays at once.
+        seekAt[s] = Math.min(seekAt[s], tun.setups > 0 ? seenAt[s] + SLOWEST_SEEK
+                : front.now() + SLOWEST_SEEK * random.nextDouble());
         if (tun.key != null) {
             holders.put(tun.key, s);
         }
@@ -321,7 +323,7 @@
             waiting.add(tun);
             return;
         }
-        boolean barred = shared && tun.setups > 0 || inFlight >= window;
+        boolean barred = shared && tun.setups > 0 || inFlight >= window || outOfPart(tun);
         if (!barred && set.probesAllowed && seekFirst(tun)) {
             return;
         }
@@ -392,11 +394,6 @@
 
     /** Where this tunnel goes; -1 when there is none with room. */
     private int pick(Tunnel tun) {
-        double part = admitted();
-        tun.luck = part < 1 && tun.luck < 0 ? random.nextDouble() : tun.luck;
-        if (part < 1 && (overShare(tun) || tun.luck > part)) {
-            return -1;
-        }
         BitSet barred = barred(tun);
         for (int s = best(tun, barred); s >= 0; s = best(tun, barred)) {
             if (overShare(tun) && factor(s) > NEAR_FULL) {
@@ -446,6 +443,13 @@
         return wanted > 0 ? room / wanted : 1;
     }
 
+    /** Not of the part that goes on: traffic over its share first, the rest by one draw each. */
+    private boolean outOfPart(Tunnel tun) {
+        double part = admitted();
+        tun.luck = part < 1 && tun.luck < 0 ? random.nextDouble() : tun.luck;
+        return part < 1 && (overShare(tun) || tun.luck > part);
+    }
+
     /** A referenced tunnel that may have run may also go again to the same server, which knows its mark. */
     private BitSet barred(Tunnel tun) {
         boolean again = tun.mayHaveRun && tun.kind.kind == Settings.Kind.REFERENCED;
@@ -514,9 +518,10 @@
             return false;
         }
         tun.sought.clear();
-        // Full by own placements alone: a report may know of room by now, so nothing is declined without it.
-        for (int k = 0; s < 0 && k < n; k++) {
-            if (ready(k) && load[k] < FULL && crowd(k) >= FULL && now - seenAt[k] > FASTEST_SEEK) {
+        // Full by own placements alone: a report may know of room by now, so a few are asked first.
+        for (int k : s < 0 ? order(tun.group) : new int[0]) {
+            if (tun.sought.cardinality() < SOUGHT && ready(k) && load[k] < FULL && crowd(k) >= FULL
+                    && now - seenAt[k] > FASTEST_SEEK) {
                 seek(k);
                 tun.sought.set(k);
             }
--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -28,7 +28,7 @@
     private Balance balance;
     private double now;
     private long order;
-    private int watches;
+    private int watches, moved;
     private boolean opens;
 
     Stage() {
@@ -143,6 +143,11 @@
                 int limit = Integer.parseInt(w[4]);
                 check(w[3].equals("most") ? sent <= limit : sent >= limit, "sent " + sentTo + ", sought " + sought);
             }
+            case "moved" -> check(moved <= Integer.parseInt(w[3]), "moved " + moved);
+            case "sought-all" -> {
+                int all = sought.values().stream().mapToInt(Integer::intValue).sum();
+                check(w[2].equals("most") ? all <= Integer.parseInt(w[3]) : all >= Integer.parseInt(w[3]), "sought " + sought);
+            }
             case "further" -> {
                 int further = setups.values().stream().mapToInt(k -> k - 1).sum();
                 check(w[2].equals("most") ? further <= Integer.parseInt(w[3]) : further >= Integer.parseInt(w[3]),
@@ -228,6 +233,7 @@
 
     @Override
     public void move(Balance.Tunnel tun) {
+        moved++;
         last.put(tun.id, "move");
         later(0.01, () -> tun.ended(0, Outcome.CANCELLED, 0, true));
     }
