A loaded server that reports empty has restarted; an empty report teaches no capacity

Ruled out: not told (all 8 were told at 5.86 to 5.90 s), renewal by reports (off here), the list's older start. Lines at fault: learn, and told, which took an empty report for a restart only after silences. Now a report under 0.1 teaches nothing, and one after a load over 0.3 is a restart: the server is cold for this relay.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -46,6 +46,8 @@
     private static final double MOST_SEEKS = 300;
     /** Reports are refreshed and arrive late, by up to this: old placements are likelier in them. */
     private static final double REPORT_LAG = 1;
+    /** From this load to that one within a report no clients leave: the server has restarted. */
+    private static final double EMPTIED = 0.3, EMPTY = 0.1;
     /** A crossing's fee is lost all of a tunnel's life; this much more in the factor loses as much. */
     private static final double FEE_TO_FACTOR = 4;
     /** What a group costs a server that holds none of it, in mean loads: not told, of the order of a few. */
@@ -829,13 +831,13 @@
             seekAt[s] = now + (offline[s] ? Math.min(SLOWEST_SEEK, seekEvery(s) * 2) : FASTEST_SEEK);
             return;
         }
+        if ((offline[s] || load[s] > EMPTIED) && report.load < EMPTY && !cold(s, now)) {
+            // Silent or loaded, and now empty: it restarted, though the list has not told yet.
+            restarted(s, now);
+        }
         if (offline[s]) {
             front.log("back " + ep[s] + " load " + report.load);
             offline[s] = false;
-            if (report.load < 0.1 && !cold(s, now)) {
-                // Silent and now empty: it restarted, though the list has not told yet.
-                restarted(s, now);
-            }
         }
         if (waitedAt[s] > 0) {
             // A setup was given up there, yet it answers: setups take that long, at any server.
@@ -864,7 +866,10 @@
                 coldCredit[s] = Math.max(coldCredit[s], random.nextDouble() < part ? Math.max(1, part) : 0);
             } else if (running[s] && !cold(s, now)) {
                 heldTold |= report.held >= 0;
-                learn(model[s], report.held, seen);
+                // A report of nothing, as before the first, tells nothing of what fills a server.
+                if (seen >= EMPTY) {
+                    learn(model[s], report.held, seen);
+                }
             }
         }
     }
@@ -877,7 +882,7 @@
         double ours = 0, loads = 0;
         int all = 0, told = 0;
         for (int s = 0; s < n && !(holds >= 0); s++) {
-            if (running[s] && model[s] == m) {
+            if (running[s] && model[s] == m && !(seenAt[s] > startedAt[s] && load[s] < EMPTY)) {
                 all++;
                 ours += own[s];
                 told += seenAt[s] > startedAt[s] ? 1 : 0;
