--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -46,7 +46,7 @@
     private static final double MOST_SEEKS = 300;
     /** Reports are refreshed and arrive late, by up to this: old placements are likelier in them. */
     private static final double REPORT_LAG = 1;
-    /** From this load to that one within a report no clients leave: the server has restarted. */
+    /** A server that dropped all of ours and went from this load to that one has restarted. */
     private static final double EMPTIED = 0.3, EMPTY = 0.1;
     /** A crossing's fee is lost all of a tunnel's life; this much more in the factor loses as much. */
     private static final double FEE_TO_FACTOR = 4;
@@ -90,7 +90,7 @@
     private String[] ep = {};
     private int[] zone = {}, model = {}, cell = {}, silence = {};
     private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {}, eased = {};
-    private boolean[] out = {}, owed = {}, unheard = {};
+    private boolean[] out = {}, owed = {}, unheard = {}, dropped = {};
     private double[] load = {}, extra = {}, placed = {}, own = {};
     private double[] startedAt = {}, seekAt = {}, seenAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
     private double[] good = {}, bad = {}, coldCredit = {}, drainedAt = {}, waitedAt = {};
@@ -203,6 +203,7 @@
                 if (outcome == Outcome.RESET) {
                     // A lost server drops its tunnels before the list tells: ask it now.
                     seekAt[s] = Math.min(seekAt[s], front.now());
+                    dropped[s] = true;
                 } else if (outcome == Outcome.CANCELLED && !moving && !running[s]) {
                     drainedAt[s] = front.now();
                 }
@@ -831,10 +832,12 @@
             seekAt[s] = now + (offline[s] ? Math.min(SLOWEST_SEEK, seekEvery(s) * 2) : FASTEST_SEEK);
             return;
         }
-        if ((offline[s] || load[s] > EMPTIED) && report.load < EMPTY && !cold(s, now)) {
-            // Silent or loaded, and now empty: it restarted, though the list has not told yet.
+        boolean fell = load[s] > EMPTIED && dropped[s] && held.get(s).isEmpty();
+        if ((offline[s] || fell) && report.load < EMPTY && !cold(s, now)) {
+            // Silent, or loaded until it dropped ours, and now empty: it restarted, whatever the list tells.
             restarted(s, now);
         }
+        dropped[s] = false;
         if (offline[s]) {
             front.log("back " + ep[s] + " load " + report.load);
             offline[s] = false;
@@ -1076,6 +1079,7 @@
             out = Arrays.copyOf(out, m);
             owed = Arrays.copyOf(owed, m);
             unheard = Arrays.copyOf(unheard, m);
+            dropped = Arrays.copyOf(dropped, m);
             load = Arrays.copyOf(load, m);
             extra = Arrays.copyOf(extra, m);
             placed = Arrays.copyOf(placed, m);
