The part of a rush is taken out again; one round of seeks before a decline

Demand is counted as this relay's times its siblings, a number told at the start, which is wrong in the moment when siblings are killed and their clients come here. Seeks before a decline took turns: three, then the next three, until all were asked (scenario: 8 for one tunnel); now one round a tunnel.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -74,8 +74,6 @@
     private static final double TIMER = 0.1;
     /** What is left of such evidence after a tick. */
     private static final double KEEP = Math.pow(0.5, TIMER / FORGET);
-    /** Demand is counted over this time, and room for it lasts this long until reports know who took it. */
-    private static final double RUSH = 2, UNKNOWN = 0.4 * REPORT_LAG;
     private static final long SEEK = 0, ASK_LIST = 1;
 
     private final Settings set;
@@ -108,8 +106,8 @@
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
     private double arrivals = 1, arrivalsAt, listBackOff = 0.5, start = 1, window = 1, windowCutAt, fullAt;
-    private double openings = 1, openingsAt, demand = 1, room, roomAt = -1, rushAt;
-    private boolean declining, shared, heldTold, rush;
+    private double openings = 1, openingsAt;
+    private boolean declining, shared, heldTold;
     private double moveCredit = 5;
 
     private record Placement(double at, double step) {
@@ -139,8 +137,8 @@
         private final Settings.Profile kind;
         private int setups, ranOn;
         private int out = -1, on = -1;
-        private boolean done, moving, mayHaveRun;
-        private double ranAt, sentAt, units, openedAt, luck = -1;
+        private boolean done, moving, mayHaveRun, asked;
+        private double ranAt, sentAt, units, openedAt;
         private final BitSet tried = new BitSet(), sought = new BitSet();
 
         private Tunnel(long id, int profile, int customer, String group, String key, double budget) {
@@ -249,7 +247,6 @@
         double now = front.now();
         ledger.took(now);
         arrivals = arrivals * Math.exp(-(now - arrivalsAt) / 10) + 0.1;
-        demand = demand * Math.exp(-(now - arrivalsAt) / RUSH) + (overShare(tun) ? 0 : 1 / RUSH);
         arrivalsAt = now;
         Integer holder = midFlow && key != null ? holders.get(key) : null;
         if (holder != null && listed[holder]) {
@@ -326,7 +323,7 @@
             waiting.add(tun);
             return;
         }
-        boolean barred = shared && tun.setups > 0 || inFlight >= window || outOfPart(tun);
+        boolean barred = shared && tun.setups > 0 || inFlight >= window;
         if (!barred && set.probesAllowed && seekFirst(tun)) {
             return;
         }
@@ -421,38 +418,6 @@
         return -1;
     }
 
-    /**
-     * The part of the tunnels that goes on while all relays are brought more than there is room for, drawn by
-     * each: siblings see the same room until reports know who took it, and fill it many times over.
-     */
-    private double admitted() {
-        double now = front.now();
-        if (now - roomAt >= TIMER) {
-            room = 0;
-            roomAt = now;
-            for (int s = 0; s < n; s++) {
-                if (ready(s) && !isFull(s)) {
-                    room += cold(s, now) ? Math.max(0, coldCredit[s]) * set.siblings
-                            : (FULL - crowd(s)) * capacity(s);
-                }
-            }
-        }
-        double wanted = demand * Math.exp(-(now - arrivalsAt) / RUSH) * (set.siblings - 1) * UNKNOWN;
-        rushAt = room < wanted ? now : rushAt;
-        if (rush != room < wanted && (!rush || now - rushAt > 1)) {
-            rush = !rush;
-            front.log((rush ? "rush: " : "rush over: ") + "room " + (int) room + ", wanted " + (int) wanted);
-        }
-        return wanted > 0 ? room / wanted : 1;
-    }
-
-    /** Not of the part that goes on: traffic over its share first, the rest by one draw each. */
-    private boolean outOfPart(Tunnel tun) {
-        double part = admitted();
-        tun.luck = part < 1 && tun.luck < 0 ? random.nextDouble() : tun.luck;
-        return part < 1 && (overShare(tun) || tun.luck > part);
-    }
-
     /** A referenced tunnel that may have run may also go again to the same server, which knows its mark. */
     private BitSet barred(Tunnel tun) {
         boolean again = tun.mayHaveRun && tun.kind.kind == Settings.Kind.REFERENCED;
@@ -517,10 +482,11 @@
         double now = front.now();
         BitSet barred = barred(tun);
         int s = best(tun, barred);
-        if (s >= 0 && now - seenAt[s] < STALE || !mayWait(tun)) {
+        if (s >= 0 && now - seenAt[s] < STALE || s < 0 && tun.asked || !mayWait(tun)) {
             return false;
         }
         tun.sought.clear();
+        tun.asked |= s < 0;
         // Full by own placements alone: a report may know of room by now, so a few are asked first.
         for (int k : s < 0 ? order(tun.group) : new int[0]) {
             if (tun.sought.cardinality() < SOUGHT && ready(k) && load[k] < FULL && crowd(k) >= FULL
