--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -42,6 +42,8 @@
     private static final int SOUGHT = 3;
     /** The part of a setup goal that may go into waiting for their answers. */
     private static final double SEEK_WAIT = 0.4;
+    /** Tunnels a second are counted over this time. */
+    private static final double RATE_TIME = 10;
     /** The most seeks a second that a relay can spare the time for. */
     private static final double MOST_SEEKS = 300;
     /** Reports are refreshed and arrive late, by up to this: old placements are likelier in them. */
@@ -54,6 +56,8 @@
     private static final double GROUP_COST = 2;
     /** How much more that counts in the choice: it stays for a group's life and spreads to all servers. */
     private static final double GROUP_PULL = 10;
+    /** How much less likely each rank further makes it that a sibling holds the group there. */
+    private static final double A_RANK = 0.35;
     /** The most siblings that an own placement stands for. */
     private static final double SIBLINGS = 4;
     /** Evidence on a server's health halves in this time. */
@@ -167,7 +171,7 @@
             stand(this, s);
             inFlight--;
             silence[s] = 0;
-            openings = openings * Math.exp(-(front.now() - openingsAt) / 10) + 0.1;
+            openings = faded(openings, openingsAt) + 1 / RATE_TIME;
             openingsAt = front.now();
             worked(s, lag <= QUEUED * kind.setupGoal);
             lagged(lag, 0.1);
@@ -246,7 +250,7 @@
         Tunnel tun = new Tunnel(id, profile, customer, group, key, budget);
         double now = front.now();
         ledger.took(now);
-        arrivals = arrivals * Math.exp(-(now - arrivalsAt) / 10) + 0.1;
+        arrivals = faded(arrivals, arrivalsAt) + 1 / RATE_TIME;
         arrivalsAt = now;
         Integer holder = midFlow && key != null ? holders.get(key) : null;
         if (holder != null && listed[holder]) {
@@ -431,9 +435,9 @@
         int[] in = tun.group == null ? null : groups.getOrDefault(tun.group, new int[0]);
         int[] ranks = new int[zones];
         // Where crossing costs less than one more server with the group, it meets at one place for all zones.
-        boolean one = FEE_TO_FACTOR * set.crossingFee < 0.35 * GROUP_PULL * GROUP_COST / largest;
+        boolean one = FEE_TO_FACTOR * set.crossingFee < A_RANK * GROUP_PULL * GROUP_COST / largest;
         // Past this rank the pull alone is above full, on the largest servers too.
-        double last = (FULL * largest / (GROUP_PULL * GROUP_COST) - strangers) / 0.35;
+        double last = (FULL * largest / (GROUP_PULL * GROUP_COST) - strangers) / A_RANK;
         int best = -1;
         double low = Double.MAX_VALUE;
         int ties = 0;
@@ -449,7 +453,7 @@
                 continue;
             }
             // The chance that no sibling holds the group at the server of this rank in the zone.
-            double alone = Math.min(1, strangers + 0.35 * rank);
+            double alone = Math.min(1, strangers + A_RANK * rank);
             // It lasts longer than a server is cold.
             double f = holds ? 0 : GROUP_PULL * GROUP_COST * alone / warmCapacity(s);
             if (f > FULL || isFull(s) || barred.get(s) || !lawful(tun, s)) {
@@ -488,9 +492,10 @@
         tun.sought.clear();
         tun.asked |= s < 0;
         // Full by own placements alone: a report may know of room by now, so a few are asked first.
-        for (int k : s < 0 ? order(tun.group) : new int[0]) {
-            if (tun.sought.cardinality() < SOUGHT && ready(k) && load[k] < FULL && crowd(k) >= FULL
-                    && now - seenAt[k] > FASTEST_SEEK) {
+        int[] order = order(tun.group);
+        for (int i = 0; s < 0 && i < n && tun.sought.cardinality() < SOUGHT; i++) {
+            int k = order[i];
+            if (ready(k) && load[k] < FULL && crowd(k) >= FULL && now - seenAt[k] > FASTEST_SEEK) {
                 seek(k);
                 tun.sought.set(k);
             }
@@ -672,6 +677,11 @@
         }
     }
 
+    /** What is left now of a rate that was counted up to a time. */
+    private double faded(double rate, double at) {
+        return rate * Math.exp(-(front.now() - at) / RATE_TIME);
+    }
+
     private void lagged(double lag, double weight) {
         setupLagSpread += weight * (Math.abs(lag - setupLag) - setupLagSpread);
         setupLag += weight * (lag - setupLag);
@@ -851,11 +861,12 @@
         double ours = 0, loads = 0;
         int all = 0, told = 0;
         for (int s = 0; s < n && !(holds >= 0); s++) {
-            if (running[s] && model[s] == m && !(seenAt[s] > startedAt[s] && load[s] < EMPTY)) {
+            boolean seen = seenAt[s] > startedAt[s];
+            if (running[s] && model[s] == m && !(seen && load[s] < EMPTY)) {
                 all++;
                 ours += own[s];
-                told += seenAt[s] > startedAt[s] ? 1 : 0;
-                loads += seenAt[s] > startedAt[s] ? load[s] : 0;
+                told += seen ? 1 : 0;
+                loads += seen ? load[s] : 0;
             }
         }
         modelHeld[m & 63] = 0.97 * modelHeld[m & 63] + (holds >= 0 ? holds : ours * set.siblings / all);
@@ -869,7 +880,7 @@
             uses += used(k) ? 1 : 0;
         }
         // The fee is by the tunnels that are set up: what clients try again while declined pays for none.
-        double fee = set.probeFee / Math.max(0.2, openings * Math.exp(-(front.now() - openingsAt) / 10));
+        double fee = set.probeFee / Math.max(0.2, faded(openings, openingsAt));
         double every = Math.max((uses + (n - uses) / UNUSED) * fee / PROBE_SPEND, n / MOST_SEEKS);
         // Fee and what a silence costs until it is met, half an interval, are least together at their root.
         double slowest = Math.max(SLOWEST_SEEK, Math.sqrt(2 * uses * fee * SILENCE_EVERY));
--- a/core/src/main/java/asterpulley/Ledger.java
+++ b/core/src/main/java/asterpulley/Ledger.java
@@ -3,9 +3,9 @@
 import java.util.ArrayDeque;
 
 /**
- * Owns how many setups beyond each tunnel's first may leave where a budget of them is told: a window that slides
- * over tunnels taken and further setups sent. It must never hold back a first setup, nor forget a further one,
- * however it or the one before it ended.
+ * Owns how many setups beyond each tunnel's first may leave where a budget of them is told: a window that
+ * slides over tunnels taken and further setups sent. It must never hold back a first setup, nor forget a
+ * further one, however it or the one before it ended.
  */
 final class Ledger {
     private final double free, earned, lookBack, slack;
@@ -14,8 +14,8 @@
     Ledger(Settings set) {
         free = set.budgetFree;
         earned = set.furtherRatio;
-        lookBack = set.lookBack > 0 ? set.lookBack : Double.NaN;
-        // Whoever counts may see a setup a tick away from where it is seen here: the window errs to the strict side.
+        lookBack = set.lookBack;
+        // Whoever counts may see a setup a tick away from where it is seen here: the window errs to be strict.
         slack = 2 * set.tick;
     }
 
--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -140,18 +140,16 @@
             case "watches" -> check(watches >= Integer.parseInt(w[2]), watches + " watches");
             case "sent", "sought" -> {
                 int sent = (w[1].equals("sent") ? sentTo : sought).getOrDefault(w[2], 0);
-                int limit = Integer.parseInt(w[4]);
-                check(w[3].equals("most") ? sent <= limit : sent >= limit, "sent " + sentTo + ", sought " + sought);
+                bound(sent, w[3], w[4], "sent " + sentTo + ", sought " + sought);
             }
-            case "moved" -> check(moved <= Integer.parseInt(w[3]), "moved " + moved);
+            case "moved" -> bound(moved, w[2], w[3], "moved " + moved);
             case "sought-all" -> {
                 int all = sought.values().stream().mapToInt(Integer::intValue).sum();
-                check(w[2].equals("most") ? all <= Integer.parseInt(w[3]) : all >= Integer.parseInt(w[3]), "sought " + sought);
+                bound(all, w[2], w[3], "sought " + sought);
             }
             case "further" -> {
                 int further = setups.values().stream().mapToInt(k -> k - 1).sum();
-                check(w[2].equals("most") ? further <= Integer.parseInt(w[3]) : further >= Integer.parseInt(w[3]),
-                        "further setups " + further);
+                bound(further, w[2], w[3], "further setups " + further);
             }
             case "patience" -> check(patience.get(Long.parseLong(w[2])) >= Double.parseDouble(w[4]), "is " + patience);
             case "over" -> check(tunnels.get(Long.parseLong(w[2])).over(), "not over");
@@ -163,6 +161,10 @@
         }
     }
 
+    private void bound(int is, String which, String limit, String what) {
+        check(which.equals("most") ? is <= Integer.parseInt(limit) : is >= Integer.parseInt(limit), what);
+    }
+
     private void check(boolean holds, String is) {
         if (!holds) {
             throw new AssertionError(is + " at " + now + ", log " + log);
