--- a/core/src/main/java/asterpulley/Ledger.java
+++ b/core/src/main/java/asterpulley/Ledger.java
@@ -15,7 +15,7 @@
         free = set.budgetFree;
         earned = set.furtherRatio;
         lookBack = set.lookBack;
-        // Whoever counts may see a setup a tick away from where it is seen here: the window errs to be strict.
+        // Whoever counts may see a setup a tick away from where it is seen here: the window is the stricter.
         slack = 2 * set.tick;
     }
 
