A client that left while it waited: what is not written whole is not sent on, by any path

Seen: LeftTest, on sockets, connections to the backend held until the kernel's second try. Without this text the backend got "OPEN 2 ..., OPEN 4 ..." a second after those clients had ended (window 2: both that were out); a client that ended its sending heard ERR where nothing had been sent on; a tunnel that stood before the start was sent again every 0.5 s after its client had gone; and Failure told NO_CONNECTION, so a server was blamed for a client that left. Ruled out: the module's queue and a due retry were sound (withdrawn tunnels are dropped there), and so is an UP that meets the client's end in one turn (twelve crossings forced by stopping the loop, both kinds of end). At fault: Relay.left (only a reset gave the setup up), Send.failed (the next try of a reopening did not ask), and Failure.outcome for CLIENT_LEFT. Now what has not been written whole is given up at the client's end, as known not to run. What was sent whole may still open, since the protocol cannot tell who left from who only ended its sending. Which answer is final the module says (Tunnel.giveUp): BUSY where nothing may have run, also at the client's timeout. Early words are still closed with error. A queued call on a tunnel that the module never had is no failure of the module any more (Route.ended, withdrawn).

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -237,10 +237,15 @@
             settle();
         }
 
-        /** The client left, or the answer is overdue. */
+        /** The client left, or the answer is overdue: nothing is sent any more. */
         public void withdrawn() {
             done = true;
         }
+
+        /** Asks for the final answer, once nothing of it is out. */
+        public void giveUp() {
+            Balance.this.giveUp(this);
+        }
     }
 
     // ---- Tunnels
--- a/relay/src/main/java/asterpulley/line/Relay.java
+++ b/relay/src/main/java/asterpulley/line/Relay.java
@@ -189,8 +189,8 @@
     }
 
     /**
-     * The client left before its answer, or only ended its own sending: nobody can tell. No further setup is made,
-     * but one that is out may still open, and in any case there is an answer.
+     * The client left before its answer, or only ended its own sending: nobody can tell. What was sent whole may still
+     * open and is waited for; nothing is sent on from here, and in any case there is an answer.
      */
     private void left(Passage passage, SocketFilter.End end) {
         if (passage.over) {
@@ -200,11 +200,11 @@
         book.count("left_before_answer");
         passage.clientEnded = true;
         route.withdrawn(passage);
-        if (end == SocketFilter.End.RESET) {
+        if (end == SocketFilter.End.RESET || passage.reach.compareTo(Failure.Reach.SENT) < 0) {
             send.abandon(passage);
         }
         if (!passage.out) {
-            book.closeWithError(passage);
+            route.giveUp(passage);
         }
     }
 
--- a/relay/src/main/java/asterpulley/line/Send.java
+++ b/relay/src/main/java/asterpulley/line/Send.java
@@ -170,13 +170,13 @@
         }
         Failure failure = passage.failure(cause);
         book.count("setup_" + failure.outcome().name().toLowerCase());
-        if (passage.asked.at() != null) {
-            loop.after(REOPEN_EVERY, () -> reopen(passage));
-        } else {
+        if (passage.asked.at() == null) {
             route.ended(passage, failure);
-            if (passage.clientEnded) {
-                book.closeWithError(passage);
-            }
+        } else if (!passage.clientEnded) {
+            loop.after(REOPEN_EVERY, () -> reopen(passage));
+        }
+        if (passage.clientEnded) {
+            route.giveUp(passage);
         }
     }
 }
--- a/relay/src/main/java/asterpulley/net/Failure.java
+++ b/relay/src/main/java/asterpulley/net/Failure.java
@@ -19,11 +19,10 @@
         return switch (cause) {
             case BYE -> Outcome.OK;
             case MOVE -> Outcome.CANCELLED;
-            case CLIENT_LEFT -> sent ? Outcome.CANCELLED : Outcome.NO_CONNECTION;
+            case CLIENT_LEFT, RECALLED -> sent ? Outcome.CANCELLED : Outcome.NEVER_SENT;
             case ERR -> Outcome.FAILED;
             case BUSY -> Outcome.FULL;
             case BROKEN -> sent ? Outcome.RESET : Outcome.NO_CONNECTION;
-            case RECALLED -> sent ? Outcome.CANCELLED : Outcome.NEVER_SENT;
             case GIVEN_UP -> sent ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION;
         };
     }
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -128,21 +128,34 @@
         return ctx.getStopAction();
     }
 
-    /** Guards against a tunnel that nobody answers: at its client's timeout it is closed with error, at the latest. */
+    /** Guards against a tunnel that nobody answers: at its client's timeout it is given up, at the latest. */
     public void overdue(Passage passage) {
         if (!passage.answered) {
             book.count("overdue");
-            drop(passage);
+            withdrawn(passage);
+            passage.talk.abandon(passage);
+            giveUp(passage);
         }
     }
 
-    /** No further setup, the one that is out is given up, and the client is told. */
+    /** No further setup, the one that is out is given up, and the client is told that it is closed with error. */
     public void drop(Passage passage) {
         withdrawn(passage);
         passage.talk.abandon(passage);
         book.closeWithError(passage);
     }
 
+    /** The final answer to a tunnel with no setup out that gets no further one: which, the module tells. */
+    public void giveUp(Passage passage) {
+        tell(() -> {
+            if (passage.handle != null) {
+                passage.handle.giveUp();
+            }
+            // It never reached the module, or the module failed on it.
+            book.closeWithError(passage);
+        });
+    }
+
     public void opened(Passage passage) {
         Asked o = passage.asked;
         if (guide != null && passage.handle == null) {
@@ -165,18 +178,22 @@
         if (guide != null) {
             guide.ended(passage.id, failure.outcome(), failure.cause() != Failure.Cause.CLIENT_LEFT, loop.now());
         }
-        if (passage.handle != null || deciding) {
-            int setup = passage.setups - 1;
-            double lag = loop.now() - passage.sentAt;
-            boolean last = passage.answered;
-            tell(() -> passage.handle.ended(setup, failure.outcome(), lag, last));
-        }
+        int setup = passage.setups - 1;
+        double lag = loop.now() - passage.sentAt;
+        boolean last = passage.answered;
+        tell(() -> {
+            if (passage.handle != null) {
+                passage.handle.ended(setup, failure.outcome(), lag, last);
+            }
+        });
     }
 
     public void withdrawn(Passage passage) {
-        if (passage.handle != null || deciding) {
-            tell(() -> passage.handle.withdrawn());
-        }
+        tell(() -> {
+            if (passage.handle != null) {
+                passage.handle.withdrawn();
+            }
+        });
     }
 
     public void load(Passage passage, double cores) {
--- a/relay/src/test/java/asterpulley/serve/OperatorsTest.java
+++ b/relay/src/test/java/asterpulley/serve/OperatorsTest.java
@@ -326,19 +326,8 @@
         two.load = "x0=0.5,rif=5,busy=0.5";
         startWithDoor(one.entry("s1", "up"), two.entry("s2", "up"));
         assertEquals(0, opened(one, two));
-        // Its queue is full: a connection to it neither comes up nor fails.
-        ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-        open.add(full);
-        for (boolean room = true; room;) {
-            Socket filling = new Socket();
-            open.add(filling);
-            try {
-                filling.connect(full.getLocalSocketAddress(), 200);
-            } catch (SocketTimeoutException e) {
-                room = false;
-            }
-        }
-        registry.tells(42, false, one.entry("s1", "up").replace(one.address(), "127.0.0.1:" + full.getLocalPort()));
+        Gate full = new Gate();
+        registry.tells(42, false, full.in(one, "s1"));
         while (counted("list_calls") < 3) {
             Thread.yield();
         }
--- a/relay/src/test/java/asterpulley/serve/RelayStage.java
+++ b/relay/src/test/java/asterpulley/serve/RelayStage.java
@@ -6,18 +6,27 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -78,13 +87,15 @@
         volatile String load = "x0=0.1,rif=1,busy=0.1";
         /** Ends a probe's connection at the second question on it, unanswered. */
         volatile boolean hangsUp;
+        /** Answers to probes that may go out. */
+        final Semaphore asked = new Semaphore(Integer.MAX_VALUE / 2);
         volatile int probes;
 
         Backend() throws IOException {
             listening = listen(this::serve);
         }
 
-        private void serve(End end) throws IOException {
+        private void serve(End end) throws Exception {
             for (String line = end.line(); line != null; line = end.line()) {
                 if (!line.equals("STATS")) {
                     openings.add(line);
@@ -92,6 +103,7 @@
                     return;
                 }
                 probes++;
+                asked.acquire();
                 end.say("PONG " + load + "\r\n");
                 if (hangsUp) {
                     end.line();
@@ -168,6 +180,76 @@
         }
     }
 
+    /**
+     * An address whose queue is full: a connection to it neither comes up nor fails. Once it is let in, it comes up with
+     * the kernel's next try, a second after the first, as a late connection does.
+     */
+    final class Gate {
+        final ServerSocket listening;
+        private final Set<Integer> fillers = new HashSet<>();
+
+        Gate() throws IOException {
+            listening = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            open.add(listening);
+            for (boolean room = true; room;) {
+                Socket filler = new Socket();
+                open.add(filler);
+                try {
+                    filler.connect(listening.getLocalSocketAddress(), 200);
+                } catch (SocketTimeoutException e) {
+                    room = false;
+                }
+                fillers.add(filler.getLocalPort());
+            }
+        }
+
+        /** That entry of a list, reached here. */
+        String in(Backend backend, String host) {
+            return backend.entry(host, "up").replace(backend.address(), address());
+        }
+
+        String address() {
+            return "127.0.0.1:" + listening.getLocalPort();
+        }
+
+        /** Lets in whoever wants to come: the next one, past those that filled the queue. */
+        End letIn() throws IOException {
+            while (true) {
+                End end = new End(listening.accept());
+                open.add(end);
+                if (!fillers.contains(end.socket.getPort())) {
+                    return end;
+                }
+            }
+        }
+
+        /** Lets in all that knocked until now and still want to come; what each said first, before it was ended. */
+        List<String> said() throws IOException {
+            // It knocks behind them, and is let in behind them.
+            SocketChannel last = SocketChannel.open();
+            open.add(last);
+            last.bind(new InetSocketAddress("127.0.0.1", 0));
+            last.configureBlocking(false);
+            last.connect(listening.getLocalSocketAddress());
+            int port = ((InetSocketAddress) last.getLocalAddress()).getPort();
+            List<String> said = new ArrayList<>();
+            for (End end = letIn(); end.socket.getPort() != port; end = letIn()) {
+                try {
+                    String line = end.line();
+                    if (line != null) {
+                        said.add(line);
+                    }
+                } catch (SocketException e) {
+                    // It was reset: nothing more comes of it.
+                    continue;
+                } finally {
+                    end.close();
+                }
+            }
+            return said;
+        }
+    }
+
     interface Work {
         void run() throws Exception;
     }
@@ -207,9 +289,14 @@
     Serve serve;
 
     Config config(int sockets, String... entries) throws IOException {
+        return config(told -> told, sockets, entries);
+    }
+
+    /** {@code edit}: what is told otherwise than usual. */
+    Config config(UnaryOperator<String> edit, int sockets, String... entries) throws IOException {
         registry = new Registry();
         Path file = folder.resolve("config.json");
-        Files.writeString(file, """
+        Files.writeString(file, edit.apply("""
                 {"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
                  "limits":{"sockets":%d},"known":{"seq":41,"whole":true,"hosts":[%s]},
                  "settings":{"zones":["a"],"models":["m"],"tenants":[{"name":"acme","share":1}],"siblings":1,
@@ -218,7 +305,7 @@
                  {"name":"pay","effect":"non_idempotent","clientTimeoutMs":3000,"setupGoalMs":2000}],
                  "limits":{"probes":true,"retryAfter":true,"maxRetryAfterMs":1000,"mostSetups":4,"dialTimeoutMs":1000},
                  "rules":{"askEveryMs":10000}}}
-                """.formatted(registry.listening.getLocalPort(), sockets, String.join(",", entries)));
+                """.formatted(registry.listening.getLocalPort(), sockets, String.join(",", entries))));
         return Config.read(file);
     }
 
@@ -244,6 +331,25 @@
         return end;
     }
 
+    /**
+     * Stops the relay's one thread until this is run: what happens meanwhile meets in one turn of it. Returns once it
+     * stands still.
+     */
+    Runnable pause() throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(1);
+        CountDownLatch on = new CountDownLatch(1);
+        serve.counted(book -> {
+            stopped.countDown();
+            try {
+                on.await(20, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stopped.await();
+        return on::countDown;
+    }
+
     long counted(String what) throws Exception {
         CompletableFuture<Long> got = new CompletableFuture<>();
         serve.counted(book -> got.complete(book.counted(what)));
