Probes: a dial of an earlier question no longer settles the next one

Seen: ProbesTest, connection held, patience and time to connect end in one turn, and a tunnel that waits has the backend asked again in that turn. Without this text the old dial's failure settled the new question as broken, 0 s old: 2 such ends before the second real silence ("expected: <0> but was: <2>"), so a backend goes offline after one patience where three are meant, and a connection that comes up late could replace the newer one and leave it open. At fault: the callbacks in Probes.dial, which asked only whether some question was out. Each question has its number now, as each setup in Send has; whatever comes for an earlier one is closed and told to nobody. Sound, with a test: a connection closed as idle in the turn of the question is asked anew and blames nobody, five times.

--- a/relay/src/main/java/asterpulley/line/Probes.java
+++ b/relay/src/main/java/asterpulley/line/Probes.java
@@ -29,6 +29,8 @@
         private final String host;
         private String address;
         private Leg leg;
+        /** The number of the question that is out, or was: who dialled for an earlier one is not heard any more. */
+        private int question;
         private boolean asked, fresh;
         private double askedAt;
         private Failure.Reach reach;
@@ -81,7 +83,8 @@
         book.count("probes");
         line.asked = true;
         line.askedAt = loop.now();
-        line.patience = loop.after(patience, () -> failed(line, Failure.Cause.GIVEN_UP));
+        int n = ++line.question;
+        line.patience = loop.after(patience, () -> failed(line, n, Failure.Cause.GIVEN_UP));
         String address = dialer.address(host);
         if (line.leg != null && !line.leg.closed() && address != null && !address.equals(line.address)) {
             // The backend is reached elsewhere now: what the old connection tells is not of it.
@@ -97,15 +100,21 @@
     }
 
     private void dial(Line line) {
+        int n = line.question;
         line.fresh = true;
         line.reach = Failure.Reach.NOT_CONNECTED;
-        line.leg = dialer.dial(line.host, chain, patience, leg -> {
-            line.leg = leg;
-            byLeg.put(leg, line);
-            if (line.asked) {
-                say(line);
-            }
-        }, () -> failed(line, Failure.Cause.BROKEN));
+        line.leg = dialer.dial(line.host, chain, patience, leg -> connected(line, n, leg),
+                () -> failed(line, n, Failure.Cause.BROKEN));
+    }
+
+    private void connected(Line line, int n, Leg leg) {
+        if (!line.asked || line.question != n) {
+            leg.close();
+            return;
+        }
+        line.leg = leg;
+        byLeg.put(leg, line);
+        say(line);
     }
 
     private void say(Line line) {
@@ -143,7 +152,7 @@
         drop(leg);
         if (line != null && line.leg == leg && line.asked) {
             if (line.fresh) {
-                failed(line, Failure.Cause.BROKEN);
+                failed(line, line.question, Failure.Cause.BROKEN);
             } else {
                 // It was closed as idle just when the question went out: that says nothing of the backend.
                 dial(line);
@@ -151,8 +160,8 @@
         }
     }
 
-    private void failed(Line line, Failure.Cause cause) {
-        if (!line.asked) {
+    private void failed(Line line, int n, Failure.Cause cause) {
+        if (!line.asked || line.question != n) {
             return;
         }
         settle(line);
--- a/relay/src/test/java/asterpulley/serve/RelayStage.java
+++ b/relay/src/test/java/asterpulley/serve/RelayStage.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
@@ -87,6 +88,7 @@
         volatile String load = "x0=0.1,rif=1,busy=0.1";
         /** Ends a probe's connection at the second question on it, unanswered. */
         volatile boolean hangsUp;
+        private final Set<End> probers = ConcurrentHashMap.newKeySet();
         /** Answers to probes that may go out. */
         final Semaphore asked = new Semaphore(Integer.MAX_VALUE / 2);
         volatile int probes;
@@ -103,6 +105,7 @@
                     return;
                 }
                 probes++;
+                probers.add(end);
                 asked.acquire();
                 end.say("PONG " + load + "\r\n");
                 if (hangsUp) {
@@ -113,6 +116,14 @@
             }
         }
 
+        /** Ends all connections on which it was asked, as idle ones. */
+        void hangUpProbes() throws IOException {
+            for (End end : probers) {
+                probers.remove(end);
+                end.close();
+            }
+        }
+
         String address() {
             return "127.0.0.1:" + listening.getLocalPort();
         }
