A relay that ends waits for lines in part and for whom the system accepted, and answers the rest

At fault: Farewell.leaving asked only for held tunnels and the last accept; Lobby closed without a word; Serve.run set its signals after the relay was built. Lobby counted its 1.5 s from the accept, also while a line was still coming. Now the lobby is asked, the address is given up in order (queue taken first) once nothing is held, whoever still owes half a line at the last moment hears BUSY, and signals are taken from the first line on and done once there is a relay. Where no socket is left, BUSY lingers, so that a line under way does not destroy it (Admit). A failed write lets go of the sender that it held back (Leg).

--- a/relay/src/main/java/asterpulley/line/TakeIn.java
+++ b/relay/src/main/java/asterpulley/line/TakeIn.java
@@ -57,12 +57,13 @@
         // A client waits for the answer to its line: what has more behind it is none, and nothing of it is heeded.
         boolean wrong = Gather.of(leg).tooLong() || line != null && (Gather.of(leg).bare() || in.hasRemaining());
         in.tryDispose();
-        if (line == null && !wrong) {
+        leg.spokeAt = loop.now();
+        leg.awaited = line == null && !wrong;
+        if (leg.awaited) {
             return ctx.getStopAction();
         }
         if (!wrong && line.equals(Words.PING)) {
             book.count("pings");
-            leg.spokeAt = loop.now();
             leg.say(Words.line(wanted.getAsBoolean() ? Words.PONG : Words.NO));
             return ctx.getStopAction();
         }
--- a/relay/src/main/java/asterpulley/net/Admit.java
+++ b/relay/src/main/java/asterpulley/net/Admit.java
@@ -48,7 +48,8 @@
             Leg leg = Leg.of(ctx.getConnection());
             book.count("declined_no_sockets");
             talk.decline(leg, comeBack());
-            leg.closeInOrder();
+            // Its line may be on its way: closing on that would destroy the answer.
+            leg.linger();
             return ctx.getStopAction();
         }
         return ctx.getInvokeAction();
--- a/relay/src/main/java/asterpulley/net/Leg.java
+++ b/relay/src/main/java/asterpulley/net/Leg.java
@@ -36,6 +36,8 @@
     private final Lobby lobby;
     /** When it came, or last asked as the front does. */
     public double spokeAt;
+    /** Its line, or the rest of one, is still to come, and is owed an answer. */
+    public boolean awaited;
     /** The tunnel that it belongs to, once there is one. */
     public Passage passage;
     private int waiting, heedless;
@@ -101,13 +103,24 @@
             public void failed(Throwable why) {
                 waiting--;
                 book.waiting--;
+                hold(null);
             }
         });
         boolean much = waiting > (book.waiting > book.mostWaiting ? 1 : MOST_WAITING);
         if (much && from != null && feeder == null && !closed) {
             book.count("slow_readers");
-            feeder = from;
-            from.reading(false);
+            hold(from);
+        }
+    }
+
+    /** Holds this sender back, or lets whom it holds back go on. */
+    private void hold(Leg from) {
+        if (feeder != null) {
+            feeder.reading(true);
+        }
+        feeder = from;
+        if (feeder != null) {
+            feeder.reading(false);
         }
     }
 
@@ -117,10 +130,7 @@
         if (--waiting > 0) {
             return;
         }
-        if (feeder != null) {
-            feeder.reading(true);
-            feeder = null;
-        }
+        hold(null);
         if (endWhenWritten) {
             endSending();
         }
--- a/relay/src/main/java/asterpulley/net/Lobby.java
+++ b/relay/src/main/java/asterpulley/net/Lobby.java
@@ -5,7 +5,8 @@
 /**
  * Owns the connections that hold a socket but no tunnel: newcomers whose line is still to come, and leavers that have
  * heard their last word. It bounds how long each may stay, and lets the oldest go where a socket is needed. It must
- * never end a connection that a tunnel uses, nor one that has hardly had the time to say its line.
+ * never end a connection that a tunnel uses, nor one that has hardly had the time to say its line, nor close on a
+ * newcomer that still waits for a first answer without one.
  */
 public final class Lobby {
     /**
@@ -21,24 +22,26 @@
 
     private final Loop loop;
     private final Book book;
+    private final Talk talk;
     private final ArrayDeque<Leg> newcomers = new ArrayDeque<>();
     private final ArrayDeque<Leg> leavers = new ArrayDeque<>();
 
-    public Lobby(Loop loop, Book book) {
+    public Lobby(Loop loop, Book book, Talk talk) {
         this.loop = loop;
         this.book = book;
+        this.talk = talk;
     }
 
     /** Starts the watch over who stays too long. */
     public void start() {
         double now = loop.now();
-        newcomers.removeIf(leg -> leg.closed() || leg.lingering() || leg.passage != null
-                || now - leg.spokeAt > WORDLESS && gone(leg, "wordless"));
+        newcomers.removeIf(leg -> !waits(leg) || now - leg.spokeAt > WORDLESS && turnedAway(leg, "wordless"));
         leavers.removeIf(leg -> leg.closed() || now - leg.lingeringSince > LINGER && gone(leg, "lingered"));
         loop.after(SWEEP, this::start);
     }
 
     public void comes(Leg leg) {
+        leg.awaited = true;
         newcomers.add(leg);
     }
 
@@ -54,18 +57,49 @@
             }
         }
         for (Leg leg = newcomers.peek(); leg != null; leg = newcomers.peek()) {
-            boolean waits = !leg.closed() && !leg.lingering() && leg.passage == null;
+            boolean waits = waits(leg);
             if (waits && loop.now() - leg.since < FIRST_WORDS) {
                 return false;
             }
             newcomers.poll();
             if (waits) {
+                // Its socket is needed now: the word goes out with the end.
+                say(leg);
                 return gone(leg, "gave_way");
             }
         }
         return false;
     }
 
+    /** Whether somebody's first line, or the rest of it, may still be on its way. */
+    public boolean awaits() {
+        return newcomers.stream().anyMatch(leg -> waits(leg) && leg.awaited);
+    }
+
+    /** Nobody's line can be waited for any longer. */
+    public void turnAway() {
+        newcomers.removeIf(leg -> !waits(leg) || turnedAway(leg, "turned_away"));
+    }
+
+    private static boolean waits(Leg leg) {
+        return !leg.closed() && !leg.lingering() && leg.passage == null;
+    }
+
+    private boolean turnedAway(Leg leg, String why) {
+        book.count(why);
+        say(leg);
+        leg.linger();
+        return true;
+    }
+
+    /** Nothing of it was sent on, so it may as well come again; who had its answer needs none. */
+    private void say(Leg leg) {
+        if (leg.awaited) {
+            leg.awaited = false;
+            talk.decline(leg, 0);
+        }
+    }
+
     private boolean gone(Leg leg, String why) {
         book.count(why);
         leg.close();
--- a/relay/src/main/java/asterpulley/serve/Farewell.java
+++ b/relay/src/main/java/asterpulley/serve/Farewell.java
@@ -2,6 +2,7 @@
 
 import asterpulley.Exodus;
 import asterpulley.net.Book;
+import asterpulley.net.Lobby;
 import asterpulley.net.Loop;
 import asterpulley.net.Passage;
 import asterpulley.net.Route;
@@ -30,15 +31,20 @@
     private final Loop loop;
     private final Book book;
     private final Route route;
+    private final Lobby lobby;
+    private final Runnable shut;
     /** Null where nobody is sent away. */
     private Exodus exodus;
-    private boolean quiet, leaving;
+    private boolean quiet, leaving, isShut;
     private double since, leave;
 
-    Farewell(Loop loop, Book book, Route route) {
+    /** {@code shut}: accepts who waits in the clients' queue, and nobody from then on. */
+    Farewell(Loop loop, Book book, Route route, Lobby lobby, Runnable shut) {
         this.loop = loop;
         this.book = book;
         this.route = route;
+        this.lobby = lobby;
+        this.shut = shut;
     }
 
     boolean quiet() {
@@ -100,10 +106,19 @@
         if (now > leave) {
             // What is still pending now gets its answer before the kill instead of none.
             book.all().forEach(route::overdue);
+            lobby.turnAway();
         }
         // A newcomer's line may still be on its way: whoever was accepted of late is waited for.
-        boolean alone = Math.min(now, loop.now() - book.lastAcceptedAt) > NEWCOMERS;
-        if (book.held() == 0 && book.lingering == 0 && alone || now > leave + 2 * Exodus.STEP) {
+        boolean alone = Math.min(now, loop.now() - book.lastAcceptedAt) > NEWCOMERS && !lobby.awaits();
+        boolean done = book.held() == 0 && book.lingering == 0 && book.waiting == 0 && alone;
+        if (done && !isShut) {
+            // Whom the system took in its queue is still a client of this relay.
+            isShut = true;
+            shut.run();
+            loop.after(Exodus.STEP, () -> leaving(gone));
+            return;
+        }
+        if (done || now > leave + 2 * Exodus.STEP) {
             LOG.info("left after " + Math.round(now * 1000) + " ms");
             LOG.info(book.toString());
             gone.run();
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -25,6 +25,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -75,6 +76,8 @@
     private final Door door;
     private final Kept kept;
     private final CountDownLatch current = new CountDownLatch(1);
+    /** Guarded by {@link #gone}, like the listener until it is open. */
+    private boolean shut;
 
     /** Decides from now on; nobody is accepted before {@link #open}. {@code folder}: what outlives it; null: nothing. */
     Serve(Config config, Path folder) throws IOException {
@@ -87,15 +90,15 @@
                 .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
                 .setReadBufferSize(SocketFilter.BUFFER)
                 .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
-        Lobby lobby = new Lobby(loop, book);
+        LineTalk talk = new LineTalk();
+        Lobby lobby = new Lobby(loop, book, talk);
         route = new Route(loop, book);
         discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
-        farewell = new Farewell(loop, book, route);
+        farewell = new Farewell(loop, book, route, lobby, this::shut);
         kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
         operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept);
         door = operators == null ? null : new Door(operators, loop, book);
         Dialer dialer = new Dialer(config.connectTimeout, transport, loop, book, lobby, discovery::dial);
-        LineTalk talk = new LineTalk();
         Send send = new Send(loop, book, dialer, route);
         Relay relay = new Relay(loop, book, route, send);
         talk.through(send, relay);
@@ -116,7 +119,7 @@
             if (config.tellsOfPools()) {
                 route.narrowedBy(new Guide(config.charter(), loop.now(), book::log, book::count));
             }
-            if (operators != null && config.discovery != null) {
+            if (catchesUp()) {
                 discovery.whenCurrent(current::countDown);
             }
             route.start(config.settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
@@ -136,29 +139,55 @@
     }
 
     /**
-     * Serves as soon as this returns. Where another process of this relay may serve meanwhile, it comes in only once it
-     * can decide as well as that one: its list may be older than what the other was told.
+     * The list at hand may be older than what counts as told: where another process of this relay may serve meanwhile,
+     * and where the list is pushed, since then all that was pushed counts from the first moment of a process.
      */
+    private boolean catchesUp() {
+        return config.discovery != null && (operators != null || !config.settings.listMustBeAsked);
+    }
+
+    /** Serves as soon as this returns; where it has to, it catches up with the list before. */
     void open() throws IOException {
-        if (operators == null) {
-            listener = Listener.open(config.listen, false, transport);
-            return;
+        if (operators != null) {
+            door.open(config.operator, transport);
+            LOG.info("operators are answered at " + text(door.address())
+                    + (kept == null ? "; TMPDIR is not set, so cordons end with this process and an upgrade is not seen" : ""));
         }
-        door.open(config.operator, transport);
-        LOG.info("operators are answered at " + text(door.address())
-                + (kept == null ? "; TMPDIR is not set, so cordons end with this process and an upgrade is not seen" : ""));
         try {
-            if (config.discovery != null && !current.await((long) (CATCH_UP * 1000), TimeUnit.MILLISECONDS)) {
+            if (catchesUp() && !current.await((long) (CATCH_UP * 1000), TimeUnit.MILLISECONDS)) {
                 LOG.info("no news of the list in " + CATCH_UP + " s, serving by the one at hand");
             }
         } catch (InterruptedException e) {
             throw new IOException("interrupted at the start");
         }
-        listener = Listener.open(config.listen, true, transport);
+        synchronized (gone) {
+            if (shut) {
+                return;
+            }
+            listener = Listener.open(config.listen, operators != null, transport);
+        }
+        LOG.info("serving " + config.name + " at " + text(address()) + ", backends known "
+                + config.known.servers().size() + ", sockets " + config.sockets);
         if (kept != null) {
             kept.serve();
         }
-        loop.handIn(operators::opened);
+        if (operators != null) {
+            loop.handIn(operators::opened);
+        }
+    }
+
+    /** Nobody is accepted from now on; who waits in the queue still is. On the loop's thread. */
+    private void shut() {
+        synchronized (gone) {
+            shut = true;
+            try {
+                if (listener != null) {
+                    listener.close();
+                }
+            } catch (IOException e) {
+                LOG.warning("the clients' address is not given up before the end: " + e);
+            }
+        }
     }
 
     private void limits() {
@@ -173,15 +202,19 @@
      */
     synchronized void reload(Source source) {
         try {
-            Config anew = source.read();
-            loop.handIn(() -> changeTo(anew));
+            changeTo(source.read());
         } catch (IOException | RuntimeException e) {
             loop.handIn(() -> book.count("configurations_unreadable"));
             LOG.warning("configuration kept, the new one cannot be read: " + e.getMessage());
         }
     }
 
-    private void changeTo(Config anew) {
+    /** From any thread. */
+    void changeTo(Config anew) {
+        loop.handIn(() -> change(anew));
+    }
+
+    private void change(Config anew) {
         LOG.info("configuration read anew: " + (anew.discovery == null
                 ? "backends " + config.known.servers().size() + " to " + anew.known.servers().size()
                 : "discovery " + text(config.discovery) + " to " + text(anew.discovery))
@@ -226,6 +259,11 @@
     public static int run(String file, Source source, PrintStream stderr) {
         GRIZZLY.setLevel(Level.WARNING);
         CHAINS.setLevel(Level.SEVERE);
+        // What is told before there is a relay to tell is done as soon as there is one.
+        CompletableFuture<Serve> there = new CompletableFuture<>();
+        Signal.handle(new Signal("TERM"), s -> there.thenAccept(Serve::end));
+        Signal.handle(new Signal("HUP"), s -> there.thenAccept(serve -> serve.reload(source)));
+        Signal.handle(new Signal("USR1"), s -> there.thenAccept(serve -> serve.counted(serve::tellAll)));
         Config config;
         try {
             config = source.read();
@@ -240,12 +278,8 @@
         try {
             String folder = System.getenv("TMPDIR");
             Serve serve = new Serve(config, folder == null || folder.isEmpty() ? null : Path.of(folder));
-            Signal.handle(new Signal("TERM"), s -> serve.end());
-            Signal.handle(new Signal("HUP"), s -> serve.reload(source));
-            Signal.handle(new Signal("USR1"), s -> serve.counted(serve::tellAll));
+            there.complete(serve);
             serve.open();
-            LOG.info("serving " + config.name + " at " + text(serve.address()) + ", backends known "
-                    + config.known.servers().size() + ", sockets " + config.sockets);
             serve.await();
             return 0;
         } catch (IOException e) {
@@ -281,11 +315,7 @@
         loop.handIn(() -> {
             boolean succeeded = kept != null && kept.succeeded();
             if (succeeded) {
-                try {
-                    listener.close();
-                } catch (IOException e) {
-                    LOG.warning("the clients' address is not given up before the end: " + e);
-                }
+                shut();
             }
             farewell.leave(config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0), succeeded,
                     gone::countDown);
