List: a silent watch is opened anew before what it missed counts as told; pushed lists within the grace

Seen with ListTest on the text before: a watch silent after its headers was asked again 12.11 s after the call, where what it missed counts from 12 s on; a silent whole list after SIGHUP after 11.9 s, where it counts after 4 s; a start with pushed lists took clients in by the list of its file, where the agent's counts from the first moment; and refusals were waited out for up to 5 s, where what an agent gets at its return counts at once (grace 0.5 s). At fault: Discovery.call (11.5 s for any answer, then a back-off of 0.38 to 0.63 s before a new call), Balance.listFailed (one back-off for refusal and silence, for pushed and asked lists). Now patience is what the protocol's clocks leave less one second to open anew: 11 s for a call that may wait 10, 3 s for one that may not; a first silence is followed by a call at once, a refusal is spared as before, and where lists are pushed no pause is longer than half the grace that the settings tell (rules.drainGraceMs, now decoded).

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -75,7 +75,7 @@
     private static final double SMALLEST = 25;
     /** Own tunnels at which what they teach of that weighs as much as the figure taken. */
     private static final double FEW = 10;
-    private static final double TIMER = 0.1;
+    private static final double FIRST_BACK_OFF = 0.5, TIMER = 0.1;
     /** What is left of such evidence after a tick. */
     private static final double KEEP = Math.pow(0.5, TIMER / FORGET);
     private static final long SEEK = 0, ASK_LIST = 1;
@@ -109,7 +109,7 @@
     private int ownOpen, inFlight;
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
-    private double arrivals = 1, arrivalsAt, listBackOff = 0.5, start = 1, window = 1, windowCutAt, fullAt;
+    private double arrivals = 1, arrivalsAt, listBackOff = FIRST_BACK_OFF, start = 1, window = 1, windowCutAt, fullAt;
     private double openings = 1, openingsAt;
     private boolean declining, shared, heldTold;
     private double moveCredit = 5;
@@ -939,7 +939,7 @@
             running[s] &= named[s];
             listed[s] &= named[s];
         }
-        listBackOff = 0.5;
+        listBackOff = FIRST_BACK_OFF;
         int up = 0;
         for (int s = 0; s < n; s++) {
             up += wanted(s) ? 1 : 0;
@@ -949,9 +949,13 @@
     }
 
     /** Asking the list failed or its changes stopped coming: ask again, later each time. */
-    public void listFailed() {
-        front.wake(listBackOff * (0.75 + 0.5 * random.nextDouble()), ASK_LIST);
-        listBackOff = Math.min(2 * listBackOff, Math.min(4, set.askEvery / 2));
+    public void listFailed(boolean silent) {
+        // What is pushed counts as told from the service's return on: it must be heard within the grace.
+        double most = set.listMustBeAsked ? Math.min(4, set.askEvery / 2) : set.drainGrace / 2;
+        // What a silent watch missed counts as told soon; only a service that refuses is spared at once.
+        double wait = silent && listBackOff == FIRST_BACK_OFF ? 0 : Math.min(most, listBackOff);
+        front.wake(wait * (0.75 + 0.5 * random.nextDouble()), ASK_LIST);
+        listBackOff = Math.min(most, 2 * listBackOff);
     }
 
     // ---- Over an upgrade
--- a/core/src/main/java/asterpulley/Settings.java
+++ b/core/src/main/java/asterpulley/Settings.java
@@ -31,6 +31,8 @@
     public int mostSetups = 1;
     public double tick = 0.001;
     public double askEvery = 10;
+    /** A server that drains may still get something new so long after this relay was told. */
+    public double drainGrace = 0.5;
     public double coldFrom = 0.1;
     public double coldTime = 20;
     public double fallMultiple = 2;
--- a/core/src/test/java/asterpulley/Stage.java
+++ b/core/src/test/java/asterpulley/Stage.java
@@ -98,7 +98,7 @@
                 balance.list(entries, w[0].equals("list"));
             }
             case "cordon" -> balance.cordon(Set.of(w).stream().filter(x -> !x.equals("cordon")).collect(Collectors.toSet()));
-            case "list-failed" -> balance.listFailed();
+            case "list-failed" -> balance.listFailed(w.length > 1 && w[1].equals("silent"));
             case "wait" -> {
             }
             case "take" -> {
@@ -137,7 +137,7 @@
             case "log" -> check(log.stream().anyMatch(l -> l.contains(w[2])), log.toString());
             case "members", "avoided" -> check(balance.members(w[1].equals("avoided")) == Integer.parseInt(w[2]),
                     balance.members(false) + " members, avoided " + balance.members(true));
-            case "watches" -> check(watches >= Integer.parseInt(w[2]), watches + " watches");
+            case "watches" -> bound(watches, w[2], w[3], watches + " watches");
             case "sent", "sought" -> {
                 int sent = (w[1].equals("sent") ? sentTo : sought).getOrDefault(w[2], 0);
                 bound(sent, w[3], w[4], "sent " + sentTo + ", sought " + sought);
--- a/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
+++ b/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
@@ -35,6 +35,7 @@
         s.longestRetryAfter = Json.flag(limits, "retryAfter") ? Json.number(limits, "maxRetryAfterMs", 0) / 1000 : 0;
         s.mostSetups = (int) Json.number(limits, "mostSetups", s.mostSetups);
         s.askEvery = Json.number(rules, "askEveryMs", 1000 * s.askEvery) / 1000;
+        s.drainGrace = Json.number(rules, "drainGraceMs", 1000 * s.drainGrace) / 1000;
         s.coldFrom = Json.number(rules, "coldFrom", s.coldFrom);
         s.coldTime = Json.number(rules, "coldMs", 1000 * s.coldTime) / 1000;
         s.fallMultiple = Json.number(rules, "fallMultiple", s.fallMultiple);
--- a/drill/src/main/java/asterpulley/drill/Relay.java
+++ b/drill/src/main/java/asterpulley/drill/Relay.java
@@ -53,7 +53,7 @@
         switch (op) {
             case "Announce" -> {
                 if (listed == null) {
-                    balance.listFailed();
+                    balance.listFailed(false);
                 } else {
                     balance.list(listed, !Json.text(e, "mode").equals("D"));
                 }
--- a/lab/src/main/java/asterpulley/lab/model/ModuleBrain.java
+++ b/lab/src/main/java/asterpulley/lab/model/ModuleBrain.java
@@ -114,7 +114,7 @@
 
     @Override
     public void listFailed() {
-        balance.listFailed();
+        balance.listFailed(false);
     }
 
     @Override
--- a/relay/src/main/java/asterpulley/list/Discovery.java
+++ b/relay/src/main/java/asterpulley/list/Discovery.java
@@ -36,9 +36,17 @@
     private static final String PATH = "/registry/instances";
     /** How long a call may wait for news. Shorter costs discovery calls; longer leaves a dead call unnoticed. */
     private static final double WAIT = 10;
-    /** A call that has no answer this long after its wait has none coming. */
-    private static final double LATE = 1.5;
+    /**
+     * What a silent call misses counts as told so long after its wait, whether or not it arrived; where it may not wait,
+     * so long after this relay was sent to another address. By then it must have been opened anew.
+     */
+    private static final double TOLD_AFTER_WAIT = 2, TOLD_AFTER_MOVE = 4;
+    /** Of that, what a new call takes: a connection, the others' calls before it, and the list on its way. */
+    private static final double ANEW = 1;
+    /** A connection that is not up by now has none coming. */
+    private static final double CONNECT = 1.5;
 
+    private static final String SILENT = "no answer";
     /** The version of no list: the whole one is asked for. */
     private static final long NONE = -1;
 
@@ -110,13 +118,14 @@
         int n = ++call;
         waiting = true;
         book.count("list_calls");
-        loop.after(WAIT + LATE, () -> failed(n, "no answer"));
+        boolean mayWait = version != NONE && whenCurrent == null;
+        loop.after((mayWait ? WAIT + TOLD_AFTER_WAIT : TOLD_AFTER_MOVE) - ANEW, () -> failed(n, SILENT));
         if (connection != null && connection.isOpen()) {
             ask(n);
             return;
         }
         TCPNIOConnectorHandler dial = TCPNIOConnectorHandler.builder(transport).processor(chain).build();
-        loop.after(LATE, () -> {
+        loop.after(CONNECT, () -> {
             if (call == n && waiting && connection == null) {
                 failed(n, "no connection");
             }
@@ -234,7 +243,7 @@
             LOG.info("discovery down (" + why + "), list " + version + " kept, backends " + dials.size());
         }
         hangUp();
-        route.listFailed();
+        route.listFailed(why.equals(SILENT));
     }
 
     private void hangUp() {
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -268,8 +268,8 @@
         return balance.members(onlyAvoided);
     }
 
-    public void listFailed() {
-        tell(() -> balance.listFailed());
+    public void listFailed(boolean silent) {
+        tell(() -> balance.listFailed(silent));
     }
 
     // ---- From the module
