Retries: window and list are asked again as a connection comes up; what arrived is read before a timer

Seen with RetryTest on the text before: a referenced tunnel, window 2.4 s, whose second setup was decided at 1.6 s and whose connection came up at 2.6 s, was written ("setups_written expected: <1> but was: <2>"): past its window, an effect twice. And an UP that was there when a stall of the process ended was not read: the setup's patience and the client's timeout ran first ("expected: <UP r1> but was: <BUSY 506>"), so what a backend had opened was thrown away. At fault: Send.connected (asked for the number of the setup only), Loop.postSelect (timers by the time after the work, not by the time of the last look at the sockets). Now a setup whose connection is up asks the module once more (Tunnel.mayGo: not withdrawn, server wanted, window), and is told as never sent otherwise. A timer runs once its time had come at the last look at the sockets. A tunnel given up with something sent on is closed with error, as it was: BUSY is for where nothing was sent on.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -124,7 +124,8 @@
         this.ledger = new Ledger(set);
         profileLoad = new double[set.profiles.size()];
         profileSeen = new double[set.profiles.size()];
-        customerOpen = new int[Math.max(1, set.shares.size())];
+        // The last is whoever names none of the customers: it has no share, and uses up nobody's.
+        customerOpen = new int[set.shares.size() + 1];
         arrivalsAt = front.now();
         if (set.listMustBeAsked) {
             front.watch();
@@ -148,7 +149,7 @@
         private Tunnel(long id, int profile, int customer, String group, String key, double budget) {
             this.id = id;
             this.profile = profile;
-            this.customer = Math.max(0, Math.min(customer, customerOpen.length - 1));
+            this.customer = customer >= 0 && customer < set.shares.size() ? customer : set.shares.size();
             this.key = set.packetsPass ? key : null;
             this.group = set.groupsShareWork ? group : null;
             this.kind = set.profiles.get(profile);
@@ -242,9 +243,18 @@
             done = true;
         }
 
-        /** Asks for the final answer, once nothing of it is out. */
+        /** True where the setup that is out may still be written now: its connection may have come up late. */
+        public boolean mayGo() {
+            return out >= 0 && !done && wanted(out) && lawful(this, out);
+        }
+
+        /** Asks for the final answer, once nothing of it is out: declined where nothing may have run. */
         public void giveUp() {
-            Balance.this.giveUp(this);
+            if (mayHaveRun) {
+                front.closeWithError(this);
+            } else {
+                Balance.this.giveUp(this);
+            }
         }
     }
 
@@ -552,7 +562,7 @@
     }
 
     private boolean overShare(Tunnel tun) {
-        return set.excessCredit < 1 && !set.shares.isEmpty()
+        return set.excessCredit < 1 && tun.customer < set.shares.size()
                 && customerOpen[tun.customer] > 1.1 * set.shares.get(tun.customer) * ownOpen + 1;
     }
 
--- a/relay/src/main/java/asterpulley/line/Send.java
+++ b/relay/src/main/java/asterpulley/line/Send.java
@@ -73,6 +73,10 @@
             return;
         }
         passage.backend = leg;
+        if (!route.mayGo(passage)) {
+            failed(passage, n, Failure.Cause.RECALLED);
+            return;
+        }
         leg.passage = passage;
         passage.reach = Failure.Reach.PARTLY_WRITTEN;
         leg.say(passage.asked.opening(passage.sentAt + timeout - loop.now()), () -> {
--- a/relay/src/main/java/asterpulley/net/Loop.java
+++ b/relay/src/main/java/asterpulley/net/Loop.java
@@ -48,6 +48,8 @@
     private final Queue<Runnable> handedIn = new ConcurrentLinkedQueue<>();
     private volatile Selector selector;
     private long order;
+    /** When the sockets were last looked at. */
+    private double looked;
 
     /** Unix seconds as at the start, moved on by the steady clock: start times of backends compare with it. */
     public double now() {
@@ -82,6 +84,7 @@
         } else {
             selector.select((long) Math.ceil(Math.min(30, wait) * 1000));
         }
+        looked = now();
         return selector.selectedKeys();
     }
 
@@ -90,8 +93,8 @@
         for (Runnable what = handedIn.poll(); what != null; what = handedIn.poll()) {
             run(what);
         }
-        double now = now();
-        while (!timers.isEmpty() && timers.peek().at <= now) {
+        // What had arrived before a timer was due is read before it runs, however long this process stood still.
+        while (!timers.isEmpty() && timers.peek().at <= looked) {
             Due due = timers.poll();
             if (due.what != null) {
                 run(due.what);
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -188,6 +188,11 @@
         });
     }
 
+    /** Its connection is up: false where what would be written now came too late for its server or its window. */
+    public boolean mayGo(Passage passage) {
+        return passage.handle == null || passage.handle.mayGo();
+    }
+
     public void withdrawn(Passage passage) {
         tell(() -> {
             if (passage.handle != null) {
--- a/relay/src/test/java/asterpulley/serve/RelayStage.java
+++ b/relay/src/test/java/asterpulley/serve/RelayStage.java
@@ -201,6 +201,7 @@
 
         Gate() throws IOException {
             listening = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            listening.setSoTimeout(20_000);
             open.add(listening);
             for (boolean room = true; room;) {
                 Socket filler = new Socket();
