No name passes for another: who names no customer has none, an unknown zone or cell has its own place

Seen by reading, shown by ToldTest: a line without t= counted against the share of the first customer in the settings (Words.opening, Balance.Tunnel, Drill's Relay), and an entry of a zone, model or cell that the settings do not name counted as the first one's (Fleet.place; cells told by a text were all one cell, so a referenced tunnel of reach cell could go again anywhere). Now who names none has no share and uses up nobody's, and a name that is not in the settings has a place of its own from its first entry on. Sound, with a test: each part of the configuration missing, null or of six wrong kinds in turn is read as usual or told by its place, and nothing but that plain error comes of it. Statics: none that hold state (read through all modules).

--- a/drill/src/main/java/asterpulley/drill/Relay.java
+++ b/drill/src/main/java/asterpulley/drill/Relay.java
@@ -113,7 +113,7 @@
     }
 
     private static int customer(Map<String, Object> e) {
-        return (int) Json.number(e, "account", 0);
+        return (int) Json.number(e, "account", -1);
     }
 
     void reply(long i, JsonGenerator out) throws IOException {
--- a/relay/src/main/java/asterpulley/line/Words.java
+++ b/relay/src/main/java/asterpulley/line/Words.java
@@ -97,7 +97,7 @@
         boolean wrong = profile == null || customer != null && !customers.isEmpty() && !customers.containsKey(customer)
                 || patience == null && at == null || patience != null && !MILLISECONDS.matcher(patience).matches()
                 || "".equals(at);
-        return wrong ? null : new Opening(w[1], w[2], profile, customers.getOrDefault(customer, 0), named.get("g"),
+        return wrong ? null : new Opening(w[1], w[2], profile, customers.getOrDefault(customer, -1), named.get("g"),
                 patience == null ? Double.NaN : Long.parseLong(patience) / 1000.0, at, before, after);
     }
 
--- a/relay/src/main/java/asterpulley/list/Fleet.java
+++ b/relay/src/main/java/asterpulley/list/Fleet.java
@@ -13,10 +13,14 @@
  * It owns the words of discovery's entries, and must never judge what they say.
  */
 public record Fleet(long version, boolean whole, List<Listed> servers, Map<String, String> dials) {
-    /** The names that entries may use, by their place in the settings. */
+    /**
+     * The names that entries use, by their place in the settings; one that these do not know has a place of its own from
+     * its first entry on, so that it never passes for another.
+     */
     public static final class Names {
         private final Map<String, Integer> zones;
         private final Map<String, Integer> models;
+        private final Map<String, Integer> cells = new HashMap<>();
 
         public Names(Map<String, Object> settings) {
             zones = SettingsDecoder.places(settings, "zones");
@@ -40,12 +44,12 @@
             }
             double born = Json.seconds(e, "born_ms");
             servers.add(new Listed(host, place(names.zones, e.get("site")), place(names.models, e.get("class")),
-                    place(Map.of(), e.get("block")), state, born > 0 ? born : Double.NEGATIVE_INFINITY));
+                    place(names.cells, e.get("block")), state, born > 0 ? born : Double.NEGATIVE_INFINITY));
         }
         return new Fleet(Json.whole(in, "seq"), Json.flag(in, "whole"), servers, dials);
     }
 
     private static int place(Map<String, Integer> places, Object named) {
-        return named instanceof Number n ? n.intValue() : places.getOrDefault(String.valueOf(named), 0);
+        return named == null ? 0 : places.computeIfAbsent(String.valueOf(named), name -> places.size());
     }
 }
--- a/relay/src/main/java/asterpulley/net/Asked.java
+++ b/relay/src/main/java/asterpulley/net/Asked.java
@@ -11,7 +11,7 @@
     /** The flow's key. */
     String key();
 
-    /** Its profile and customer, by their place in the settings. */
+    /** Its profile and customer, by their place in the settings; -1 where it names no customer. */
     int profile();
 
     int customer();
--- /dev/null
+++ b/relay/src/test/java/asterpulley/serve/ToldTest.java
@@ -0,0 +1,119 @@
+package asterpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import asterpulley.decode.Json;
+import asterpulley.line.Words;
+import asterpulley.list.Fleet;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What a relay is told: any part of it may be missing, null or of the wrong kind, and no name passes for another. */
+class ToldTest {
+    private static Map<String, Object> map(Object... namesAndValues) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i < namesAndValues.length; i += 2) {
+            map.put((String) namesAndValues[i], namesAndValues[i + 1]);
+        }
+        return map;
+    }
+
+    private static Map<String, Object> told() {
+        return map("name", "n1", "listen", "127.0.0.1:0", "discovery", "127.0.0.1:1", "seed", "1f",
+                "limits", map("sockets", 600L, "memory_mb", 96L),
+                "known", map("seq", 4L, "whole", true, "hosts", new ArrayList<>(List.of(map("host", "s1", "dial", "127.0.0.1:2",
+                        "site", "a", "class", "m", "block", 0L, "health", "up", "born_ms", 0L)))),
+                "settings", map("zones", List.of("a", "b"), "models", List.of("m"), "siblings", 3L, "myZone", 1L, "tickMs", 4.0,
+                        "registryMode", "subscribe", "excessCredit", 0.2,
+                        "tenants", new ArrayList<>(List.of(map("name", "acme", "share", 0.5), map("name", "umbra", "share", 0.5))),
+                        "profiles", new ArrayList<>(List.of(map("name", "chat", "effect", "idempotency_key", "group", "zone",
+                                "clientTimeoutMs", 3000.0, "setupGoalMs", 300.0, "credit", 2.0, "windowMs", 500.0))),
+                        "limits", map("probes", true, "retryAfter", true, "maxRetryAfterMs", 1000.0, "mostSetups", 4L,
+                                "dialTimeoutMs", 250.0),
+                        "rules", map("askEveryMs", 10000.0, "drainGraceMs", 500.0, "coldFrom", 0.1, "coldMs", 9000.0,
+                                "fallMultiple", 4.0, "fallMs", 1000.0, "budgetFree", 1.0, "furtherRatio", 0.1, "lookBackMs", 500.0),
+                        "fees", map("crossZone", 0.02, "probe", 0.005), "scoreParts", map("logLossPart", 0.1, "topNines", 3.0),
+                        "familyInfo", map("mode", "proxy", "groups", true)));
+    }
+
+    /** Where a message names the place by other words than the field itself, or a field within it that is missing then. */
+    private static final Map<String, String> PLACES = Map.of("tenants", "a tenant", "profiles", "profile", "known", "hosts",
+            "settings", "profiles", "seed", "hexadecimal", "listen", "address", "discovery", "address");
+
+    private interface Edit {
+        void at(Map<String, Object> in, String name);
+    }
+
+    /** Each place of what is told, in turn, as this edit leaves it. */
+    private static void each(Object value, String place, List<Runnable> back, Edit edit, java.util.function.Consumer<String> then) {
+        if (value instanceof List<?> list) {
+            for (Object o : list) {
+                each(o, place, back, edit, then);
+            }
+        } else if (value instanceof Map<?, ?>) {
+            Map<String, Object> map = Json.object(value, place);
+            for (String name : List.copyOf(map.keySet())) {
+                Object was = map.get(name);
+                edit.at(map, name);
+                then.accept(name);
+                map.put(name, was);
+                each(was, name, back, edit, then);
+            }
+        }
+    }
+
+    @Test
+    void whatIsMissingNullOrOfTheWrongKindIsReadAsUsualOrToldByItsPlace() {
+        List<Object> wrong = Arrays.asList(null, "words", -1L, new ArrayList<>(List.of(7L)), new HashMap<>(), true);
+        List<String> unplaced = new ArrayList<>();
+        Map<String, Object> told = told();
+        List<Edit> edits = new ArrayList<>(List.of((in, name) -> in.remove(name)));
+        wrong.forEach(value -> edits.add((in, name) -> in.put(name, value)));
+        for (Edit edit : edits) {
+            each(told, "the configuration", new ArrayList<>(), edit, name -> {
+                try {
+                    Config.of(told);
+                } catch (Json.Malformed e) {
+                    if (!e.getMessage().contains(name) && !e.getMessage().contains(PLACES.getOrDefault(name, name))) {
+                        unplaced.add(name + ": " + e.getMessage());
+                    }
+                } catch (RuntimeException e) {
+                    unplaced.add(name + ": " + e);
+                }
+            });
+        }
+        assertEquals(List.of(), unplaced);
+        assertEquals(4, Config.of(told).known.version(), "as it was");
+    }
+
+    @Test
+    void whoNamesNoCustomerIsNoneAndNobodyElses() {
+        Config config = Config.of(told());
+        Words words = config.words;
+        assertEquals(1, words.opening("OPEN 1 2 c=chat,t=umbra,d=100").customer());
+        assertEquals(0, words.opening("OPEN 1 2 c=chat,t=acme,d=100").customer());
+        assertEquals(-1, words.opening("OPEN 1 2 c=chat,d=100").customer());
+    }
+
+    @Test
+    void aZoneOrCellThatTheSettingsDoNotNameIsNoOther() {
+        Config config = Config.of(told());
+        List<Object> hosts = new ArrayList<>();
+        for (String site : List.of("a", "b", "c", "d", "c")) {
+            hosts.add(map("host", "s" + hosts.size(), "site", site, "class", "x" + site, "block", "k" + site, "health", "up"));
+        }
+        var servers = Fleet.read(map("seq", 9L, "whole", true, "hosts", hosts), config.names).servers();
+        assertEquals(List.of(0, 1, 2, 3, 2), servers.stream().map(s -> s.zone()).toList());
+        assertEquals(servers.get(2).cell(), servers.get(4).cell());
+        assertNotEquals(servers.get(2).cell(), servers.get(3).cell());
+        assertNotEquals(servers.get(0).model(), servers.get(1).model());
+        assertTrue(Config.of(told()).names != config.names, "two relays of one process share nothing of it");
+    }
+}
