A client's end counts before the write that meets it in one turn; a slow reader keeps its last word

Seen with LeftTest, the loop stopped while both happen: the connection to the backend came up and the client left in one turn; which the loop met first was the order of its keys, so some were written for nobody ("expected: <null> but was: <OPEN 1 ...>"). A relay that stood still for 0.3 s would have sent on what had left 0.3 s ago. At fault: Send.connected wrote without a look at the client. It looks now (one read that finds nothing, as the client only waits); a word that it finds is an early word, as elsewhere. And Lobby ended whoever lingered 1 s after its last word was said, also while a slow reader was still reading what came before it; the second counts from when something last went out.

--- a/relay/src/main/java/asterpulley/line/Send.java
+++ b/relay/src/main/java/asterpulley/line/Send.java
@@ -77,6 +77,24 @@
             failed(passage, n, Failure.Cause.RECALLED);
             return;
         }
+        switch (passage.client.peek()) {
+            case ENDED -> {
+                // It left in this very turn, or while this process stood still.
+                book.count("left_before_answer");
+                passage.clientEnded = true;
+                route.withdrawn(passage);
+                failed(passage, n, Failure.Cause.CLIENT_LEFT);
+                return;
+            }
+            case SPOKE -> {
+                book.count("early_words");
+                route.drop(passage);
+                return;
+            }
+            default -> {
+                // It waits, as a client does.
+            }
+        }
         leg.passage = passage;
         passage.reach = Failure.Reach.PARTLY_WRITTEN;
         leg.say(passage.asked.opening(passage.sentAt + timeout - loop.now()), () -> {
--- a/relay/src/main/java/asterpulley/net/Leg.java
+++ b/relay/src/main/java/asterpulley/net/Leg.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -160,6 +161,19 @@
         }
     }
 
+    /** What a peer that should only wait has done meanwhile. */
+    public enum Meanwhile { WAITED, SPOKE, ENDED }
+
+    /** Looks before the loop comes to it; a word that is found is taken, since nobody may say one now. */
+    public Meanwhile peek() {
+        try {
+            int got = closed || deaf ? -1 : channel().read(ByteBuffer.allocate(1));
+            return got < 0 ? Meanwhile.ENDED : got > 0 ? Meanwhile.SPOKE : Meanwhile.WAITED;
+        } catch (IOException e) {
+            return Meanwhile.ENDED;
+        }
+    }
+
     /** Its incoming direction has ended: nothing more will be read. */
     public void deaf() {
         deaf = true;
--- a/relay/src/main/java/asterpulley/net/Lobby.java
+++ b/relay/src/main/java/asterpulley/net/Lobby.java
@@ -36,7 +36,9 @@
     public void start() {
         double now = loop.now();
         newcomers.removeIf(leg -> !waits(leg) || now - leg.spokeAt > WORDLESS && turnedAway(leg, "wordless"));
-        leavers.removeIf(leg -> leg.closed() || now - leg.lingeringSince > LINGER && gone(leg, "lingered"));
+        // A slow reader that still reads may yet come to its last word.
+        leavers.removeIf(leg -> leg.closed()
+                || now - Math.max(leg.lingeringSince, leg.wroteAt) > LINGER && gone(leg, "lingered"));
         loop.after(SWEEP, this::start);
     }
 
--- a/relay/src/test/java/asterpulley/serve/LeftTest.java
+++ b/relay/src/test/java/asterpulley/serve/LeftTest.java
@@ -59,6 +59,29 @@
         assertEquals(0, counted("setup_no_connection"), "no backend is blamed for a client that left");
     }
 
+    @Test
+    void anEndThatMeetsTheConnectionInOneTurnCountsFirst() throws Exception {
+        Backend b = new Backend();
+        for (int i = 0; i < 6; i++) {
+            Gate gate = new Gate();
+            start(config(told -> told.replace("\"setupGoalMs\":2000", "\"setupGoalMs\":3600").replace("\"probes\":true",
+                    "\"probes\":false").replace("\"clientTimeoutMs\":3000", "\"clientTimeoutMs\":9000")
+                    .replace("\"dialTimeoutMs\":1000", "\"dialTimeoutMs\":5000"), 1000, gate.in(b, "s1")));
+            End client = client("chat", 9000);
+            await("setups", 1);
+            Runnable on = pause();
+            End up = gate.letIn();
+            if (i % 2 == 0) {
+                client.socket.shutdownOutput();
+            } else {
+                client.reset();
+            }
+            on.run();
+            assertNull(up.line(), "its client had left before it could be written");
+            assertEquals(0, counted("setups_written"));
+        }
+    }
+
     @Test
     void aTunnelThatWaitsForASeeksAnswerWhenItsClientLeavesIsNotSentOn() throws Exception {
         Backend b = new Backend();
