--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -75,7 +75,7 @@
     private static final double SMALLEST = 25;
     /** Own tunnels at which what they teach of that weighs as much as the figure taken. */
     private static final double FEW = 10;
-    private static final double FIRST_BACK_OFF = 0.5, TIMER = 0.1;
+    private static final double BACK_OFF = 0.5, TIMER = 0.1;
     /** What is left of such evidence after a tick. */
     private static final double KEEP = Math.pow(0.5, TIMER / FORGET);
     private static final long SEEK = 0, ASK_LIST = 1;
@@ -93,7 +93,7 @@
     private int[] zone = {}, model = {}, cell = {}, silence = {};
     private boolean[] running = {}, listed = {}, offline = {}, full = {}, seeking = {}, eased = {};
     private boolean[] out = {}, owed = {}, unheard = {}, dropped = {};
-    private double[] load = {}, extra = {}, placed = {}, own = {};
+    private double[] load = {}, extra = {}, placed = {}, own = {}, turns = {};
     private double[] startedAt = {}, seekAt = {}, seenAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
     private double[] good = {}, bad = {}, coldCredit = {}, drainedAt = {}, waitedAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
@@ -109,9 +109,9 @@
     private int ownOpen, inFlight;
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
-    private double arrivals = 1, arrivalsAt, listBackOff = FIRST_BACK_OFF, start = 1, window = 1, windowCutAt, fullAt;
+    private double arrivals = 1, arrivalsAt, listBackOff = BACK_OFF, start = 1, window = 1, windowCutAt, fullAt;
     private double openings = 1, openingsAt;
-    private boolean declining, shared, heldTold;
+    private boolean declining, shared, heldTold, loadTold;
     private double moveCredit = 5;
 
     private record Placement(double at, double step) {
@@ -243,7 +243,7 @@
             done = true;
         }
 
-        /** True where the setup that is out may still be written now: its connection may have come up late. */
+        /** True where the setup that is out may still be written: its connection may have come up late. */
         public boolean mayGo() {
             return out >= 0 && !done && wanted(out) && lawful(this, out);
         }
@@ -480,7 +480,7 @@
             }
             // Who put it back wants to see it used: it gets one tunnel before others that stand lower.
             f += (units + (holds ? 0 : GROUP_COST)) / capacity(s)
-                    + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee);
+                    + (zone[s] == set.zone ? 0 : FEE_TO_FACTOR * set.crossingFee) + SIBLINGS * turns[s];
             f = owed[s] && seenAt[s] > startedAt[s] ? -1 : f;
             if (f >= low + 1e-9 || !front.may(tun, s, ep[s])) {
                 continue;
@@ -615,8 +615,7 @@
 
     /** A load in mean loads. */
     private double units(int profile, double cores) {
-        double sum = 0;
-        double seen = 0;
+        double sum = 0, seen = 0;
         for (int p = 0; p < profileLoad.length; p++) {
             sum += profileSeen[p] * profileLoad[p];
             seen += profileSeen[p];
@@ -659,6 +658,7 @@
     private void age(int s, double now) {
         good[s] *= KEEP;
         bad[s] *= KEEP;
+        turns[s] *= KEEP;
         if (cold(s, now)) {
             double grown = coldCredit[s] + coldPart(s) / set.coldTime * TIMER;
             double most = coldPart(s) * (heldTold ? 0.5 : set.fallTime / set.coldTime);
@@ -668,7 +668,10 @@
 
     private void later(int s, double step) {
         extra[s] += step;
-        placed[s] += Math.max(0, step);
+        // Where no load is told, what stands here is all that is known: what fell counts no more.
+        placed[s] = Math.max(0, placed[s] + (loadTold ? Math.max(0, step) : step));
+        turns[s] += loadTold ? 0 : Math.max(0, step);
+        recent.get(s).removeIf(p -> p.at < front.now() - REPORT_LAG);
         recent.get(s).add(new Placement(front.now(), step));
     }
 
@@ -727,8 +730,7 @@
     /** When setups fail at most servers tried of late, what they share is suspected before the servers. */
     private void judge() {
         double since = front.now() - RECENT;
-        int failing = 0;
-        int seen = 0;
+        int failing = 0, seen = 0;
         for (int s = 0; s < n; s++) {
             boolean tried = ready(s) && !unheard[s] && Math.max(failedAt[s], workedAt[s]) > since;
             seen += tried ? 1 : 0;
@@ -845,6 +847,7 @@
         double seen = !Double.isNaN(report.load) ? report.load : report.busy;
         if (!Double.isNaN(seen)) {
             load[s] = seen;
+            loadTold = true;
             eased[s] = false;
             recent.get(s).removeIf(p -> p.at < now - REPORT_LAG);
             extra[s] = placed[s] = 0;
@@ -949,7 +952,7 @@
             running[s] &= named[s];
             listed[s] &= named[s];
         }
-        listBackOff = FIRST_BACK_OFF;
+        listBackOff = BACK_OFF;
         int up = 0;
         for (int s = 0; s < n; s++) {
             up += wanted(s) ? 1 : 0;
@@ -963,7 +966,7 @@
         // What is pushed counts as told from the service's return on: it must be heard within the grace.
         double most = set.listMustBeAsked ? Math.min(4, set.askEvery / 2) : set.drainGrace / 2;
         // What a silent watch missed counts as told soon; only a service that refuses is spared at once.
-        double wait = silent && listBackOff == FIRST_BACK_OFF ? 0 : Math.min(most, listBackOff);
+        double wait = silent && listBackOff == BACK_OFF ? 0 : Math.min(most, listBackOff);
         front.wake(wait * (0.75 + 0.5 * random.nextDouble()), ASK_LIST);
         listBackOff = Math.min(most, 2 * listBackOff);
     }
@@ -1080,6 +1083,7 @@
             extra = Arrays.copyOf(extra, m);
             placed = Arrays.copyOf(placed, m);
             own = Arrays.copyOf(own, m);
+            turns = Arrays.copyOf(turns, m);
             startedAt = Arrays.copyOf(startedAt, m);
             seekAt = Arrays.copyOf(seekAt, m);
             seenAt = Arrays.copyOf(seenAt, m);
