--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -109,8 +109,8 @@
     private int ownOpen, inFlight;
     private final int[] customerOpen;
     private double setupLag = 0.02, setupLagSpread = 0.02;
-    private double arrivals = 1, arrivalsAt, listBackOff = BACK_OFF, start = 1, window = 1, windowCutAt, fullAt;
-    private double openings = 1, openingsAt;
+    private double arrivals = 1, arrivalsAt, listBackOff = BACK_OFF, start = 1, window = 1, windowCutAt;
+    private double openings = 1, openingsAt, fullAt;
     private boolean declining, shared, heldTold, loadTold;
     private double moveCredit = 5;
 
