Where no load is told, own tunnels say nothing of the siblings', so a relay no longer declines for them

Cause: Balance.crowd. What siblings likely placed since the last report is guessed from own placements, up to four times; where reports tell no load nothing ever takes that back, so five standing tunnels made a server full for good and the rest was declined. Now the guess stands only where loads are told, or not yet asked for; a site whose answers carry none, or that refuses probes, counts its own tunnels alone. LearnedTest now gives the report that its own words promise ("at a server of which one report is known"); what it expects is as before.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -111,7 +111,7 @@
     private double setupLag = 0.02, setupLagSpread = 0.02;
     private double arrivals = 1, arrivalsAt, listBackOff = BACK_OFF, start = 1, window = 1, windowCutAt;
     private double openings = 1, openingsAt, fullAt;
-    private boolean declining, shared, heldTold, loadTold;
+    private boolean declining, shared, heldTold, loadTold, blind;
     private double moveCredit = 5;
 
     private record Placement(double at, double step) {
@@ -127,6 +127,7 @@
         // The last is whoever names none of the customers: it has no share, and uses up nobody's.
         customerOpen = new int[set.shares.size() + 1];
         arrivalsAt = front.now();
+        blind = !set.probesAllowed;
         if (set.listMustBeAsked) {
             front.watch();
         }
@@ -586,9 +587,9 @@
         return Math.max(0, load[s] + extra[s]);
     }
 
-    /** The factor with what siblings likely placed too; of most of many, own placements say nothing. */
+    /** The factor with what siblings likely placed until a report tells it; of many, own ones say little. */
     private double crowd(int s) {
-        return factor(s) + Math.min(SIBLINGS, set.siblings - 1) * placed[s];
+        return factor(s) + (blind ? 0 : Math.min(SIBLINGS, set.siblings - 1) * placed[s]);
     }
 
     private double step(int s, Tunnel tun) {
@@ -668,9 +669,8 @@
 
     private void later(int s, double step) {
         extra[s] += step;
-        // Where no load is told, what stands here is all that is known: what fell counts no more.
-        placed[s] = Math.max(0, placed[s] + (loadTold ? Math.max(0, step) : step));
-        turns[s] += loadTold ? 0 : Math.max(0, step);
+        placed[s] += Math.max(0, step);
+        turns[s] += blind ? Math.max(0, step) : 0;
         recent.get(s).removeIf(p -> p.at < front.now() - REPORT_LAG);
         recent.get(s).add(new Placement(front.now(), step));
     }
@@ -756,8 +756,7 @@
 
     /** Standing tunnels leave a server that is offline or crowded, as fast as others have room for them. */
     private void relieve(int s) {
-        double now = front.now();
-        double f = factor(s);
+        double now = front.now(), f = factor(s);
         // What still stands when a draining server stops is cut off, so it is moved before.
         boolean leaves = offline[s] || out[s] || drainedAt[s] > 0 && now - drainedAt[s] > DRAIN_WAIT;
         double wanted = leaves ? own[s] : f > CROWDED ? own[s] * (f - FULL) / f : 0;
@@ -845,9 +844,10 @@
         full[s] = false;
         seenAt[s] = now;
         double seen = !Double.isNaN(report.load) ? report.load : report.busy;
+        loadTold |= !Double.isNaN(seen);
+        blind = !loadTold;
         if (!Double.isNaN(seen)) {
             load[s] = seen;
-            loadTold = true;
             eased[s] = false;
             recent.get(s).removeIf(p -> p.at < now - REPORT_LAG);
             extra[s] = placed[s] = 0;
--- a/core/src/test/java/asterpulley/LearnedTest.java
+++ b/core/src/test/java/asterpulley/LearnedTest.java
@@ -73,6 +73,9 @@
         Notes front = new Notes();
         Balance balance = balance(front);
         assertTrue(learned == null || balance.learn(learned));
+        Report empty = new Report();
+        empty.load = 0;
+        balance.probed("a", Outcome.OK, empty);
         for (int i = 0; i < 30; i++) {
             balance.take(i, 0, 0, null, null, 0, false).opened(0, 0.01);
         }
