--- a/relay/src/main/java/asterpulley/list/Fleet.java
+++ b/relay/src/main/java/asterpulley/list/Fleet.java
@@ -23,8 +23,16 @@
         private final Map<String, Integer> cells = new HashMap<>();
 
         public Names(Map<String, Object> settings) {
-            zones = SettingsDecoder.places(settings, "zones");
-            models = SettingsDecoder.places(settings, "models");
+            zones = numbered(SettingsDecoder.places(settings, "zones"));
+            models = numbered(SettingsDecoder.places(settings, "models"));
+        }
+
+        /** An entry may also tell the place itself. */
+        private static Map<String, Integer> numbered(Map<String, Integer> places) {
+            for (int i = places.size() - 1; i >= 0; i--) {
+                places.putIfAbsent(Integer.toString(i), i);
+            }
+            return places;
         }
     }
 
