Tests: one way to start a relay as a process, and a parameter that nothing read is gone

LeavingTest built the process that UpgradeTest builds; RelayStage.process serves both. ToldTest.each carried a list that nobody used.

--- a/relay/src/test/java/asterpulley/serve/LeavingTest.java
+++ b/relay/src/test/java/asterpulley/serve/LeavingTest.java
@@ -127,10 +127,7 @@
         Path pipe = folder.resolve("pipe.json");
         assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
         Path log = folder.resolve("log");
-        ProcessBuilder run = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
-                "-Xmx64m", "-cp", System.getProperty("java.class.path"), "asterpulley.serve.Main", "serve");
-        run.environment().put("LB_CONFIG", pipe.toString());
-        Process process = run.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        Process process = process(pipe, log).start();
         open.add(process::destroyForcibly);
         String told = Files.readString(folder.resolve("config.json"));
         // Whoever writes to the pipe is held until the relay reads its configuration, and the relay until all is written.
--- a/relay/src/test/java/asterpulley/serve/RelayStage.java
+++ b/relay/src/test/java/asterpulley/serve/RelayStage.java
@@ -331,6 +331,14 @@
         serve.open();
     }
 
+    /** A relay as a process of its own, yet to be started. */
+    static ProcessBuilder process(Path config, Path log) {
+        ProcessBuilder run = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
+                "-Xmx64m", "-cp", System.getProperty("java.class.path"), "asterpulley.serve.Main", "serve");
+        run.environment().put("LB_CONFIG", config.toString());
+        return run.redirectErrorStream(true).redirectOutput(log.toFile());
+    }
+
     End connect() throws IOException {
         End end = new End(new Socket(serve.address().getAddress(), serve.address().getPort()));
         open.add(end);
--- a/relay/src/test/java/asterpulley/serve/ToldTest.java
+++ b/relay/src/test/java/asterpulley/serve/ToldTest.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /** What a relay is told: any part of it may be missing, null or of the wrong kind, and no name passes for another. */
@@ -52,10 +53,10 @@
     }
 
     /** Each place of what is told, in turn, as this edit leaves it. */
-    private static void each(Object value, String place, List<Runnable> back, Edit edit, java.util.function.Consumer<String> then) {
+    private static void each(Object value, String place, Edit edit, Consumer<String> then) {
         if (value instanceof List<?> list) {
             for (Object o : list) {
-                each(o, place, back, edit, then);
+                each(o, place, edit, then);
             }
         } else if (value instanceof Map<?, ?>) {
             Map<String, Object> map = Json.object(value, place);
@@ -64,7 +65,7 @@
                 edit.at(map, name);
                 then.accept(name);
                 map.put(name, was);
-                each(was, name, back, edit, then);
+                each(was, name, edit, then);
             }
         }
     }
@@ -77,7 +78,7 @@
         List<Edit> edits = new ArrayList<>(List.of((in, name) -> in.remove(name)));
         wrong.forEach(value -> edits.add((in, name) -> in.put(name, value)));
         for (Edit edit : edits) {
-            each(told, "the configuration", new ArrayList<>(), edit, name -> {
+            each(told, "the configuration", edit, name -> {
                 try {
                     Config.of(told);
                 } catch (Json.Malformed e) {
--- a/relay/src/test/java/asterpulley/serve/UpgradeTest.java
+++ b/relay/src/test/java/asterpulley/serve/UpgradeTest.java
@@ -43,11 +43,9 @@
                     .replace("127.0.0.1:0\"", "127.0.0.1:" + listen + "\",\"operator\":\"127.0.0.1:" + door + "\""));
             registry.tells(41);
             log = folder.resolve("log-" + door);
-            ProcessBuilder run = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
-                    "-Xmx64m", "-cp", System.getProperty("java.class.path"), "asterpulley.serve.Main", "serve");
-            run.environment().put("LB_CONFIG", config.toString());
+            ProcessBuilder run = process(config, log);
             run.environment().put("TMPDIR", folder.toString());
-            process = run.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+            process = run.start();
             open.add(this);
         }
 
