Discovery: the waiting HTTP call is a part of its own, asterpulley.net.LongPoll

Cause: what the list says and how one call waits over HTTP stood in one class, so a second thing to watch at the same service would have had to copy dial, silence timer, status and hang-up.

Change: LongPoll owns the address, the dial and its timeout, GET PATH?index=V&wait=MS, the silence timer, broken connections and statuses, and calls back answered(body) or failed(why, silent); it knows no word of the list. Discovery keeps what answers mean, when the next call goes out and the counters. No change of behaviour.

Measured: ListTest, BordersTest, ServeTest and ToldTest pass unchanged.

--- /dev/null
+++ b/relay/src/main/java/asterpulley/net/LongPoll.java
@@ -0,0 +1,171 @@
+package asterpulley.net;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/**
+ * Owns one long poll over HTTP/1.1: a call that may wait at the other side for news, on a connection kept from call to
+ * call. It must never have two calls out, never call by itself, never read what an answer says, and never block.
+ *
+ * <p>Use: one object a path and address, on the loop's thread alone. {@link #call} sends {@code GET PATH}, or {@code GET
+ * PATH?index=V&wait=MS} from a version on. Each call ends in exactly one of {@link Caller#answered} and
+ * {@link Caller#failed}, never before {@link #call} has returned, unless {@link #hangUp} or {@link #moveTo} ended it
+ * first: then in neither. Whoever calls decides when the next one goes out, also at once from within either of the two.
+ */
+public final class LongPoll extends BaseFilter {
+    /** Who calls and is told how each call ended. */
+    public interface Caller {
+        /** The whole body of an answer with status 200. The connection stays; the next call goes out on it. */
+        void answered(String body);
+
+        /** No such answer came, and the connection is closed. {@code silent}: no whole answer within the patience. */
+        void failed(String why, boolean silent);
+    }
+
+    /** The version of who has none yet: the whole is asked for, and nothing is waited for. */
+    public static final long NONE = -1;
+    /** A connection that is not up by now has none coming. */
+    private static final double CONNECT = 1.5;
+
+    private final String path;
+    private final Caller caller;
+    private final Loop loop;
+    private final Book book;
+    private final TCPNIOTransport transport;
+    private final FilterChain chain;
+    private InetSocketAddress address;
+    private Connection<?> connection;
+    private boolean waiting;
+    private int call;
+
+    public LongPoll(String path, InetSocketAddress address, Caller caller, Loop loop, Book book, TCPNIOTransport transport) {
+        this.path = path;
+        this.address = address;
+        this.caller = caller;
+        this.loop = loop;
+        this.book = book;
+        this.transport = transport;
+        chain = FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter()).add(this).build();
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Calls go there from now on; the one that is out is given up and ends in nothing. */
+    public void moveTo(InetSocketAddress to) {
+        hangUp();
+        address = to;
+    }
+
+    /**
+     * Asks for what is newer than a version, and lets the call wait so long for it; with {@link #NONE} for the whole, at
+     * once. It fails as silent when there is no whole answer {@code patience} seconds from now.
+     */
+    public void call(long version, double wait, double patience) {
+        int n = ++call;
+        waiting = true;
+        loop.after(patience, () -> failed(n, "no answer", true));
+        String query = version == NONE ? null : "index=" + version + "&wait=" + Math.round(wait * 1000);
+        if (connection != null && connection.isOpen()) {
+            ask(query);
+            return;
+        }
+        TCPNIOConnectorHandler dial = TCPNIOConnectorHandler.builder(transport).processor(chain).build();
+        loop.after(CONNECT, () -> {
+            if (call == n && connection == null) {
+                failed(n, "no connection", false);
+            }
+        });
+        connection = null;
+        dial.connect(address, new EmptyCompletionHandler<Connection>() {
+            @Override
+            public void completed(Connection opened) {
+                if (call != n || !waiting) {
+                    opened.terminateSilently();
+                    return;
+                }
+                connection = opened;
+                book.sockets++;
+                ask(query);
+            }
+
+            @Override
+            public void failed(Throwable why) {
+                loop.after(0, () -> LongPoll.this.failed(n, "no connection", false));
+            }
+        });
+    }
+
+    private void ask(String query) {
+        HttpRequestPacket.Builder request = HttpRequestPacket.builder().method("GET").uri(path).protocol("HTTP/1.1")
+                .header("Host", address.getHostString() + ":" + address.getPort());
+        if (query != null) {
+            request.query(query);
+        }
+        connection.write(request.build());
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        HttpContent content = ctx.getMessage();
+        if (!content.isLast()) {
+            return ctx.getStopAction(content);
+        }
+        int status = ((HttpResponsePacket) content.getHttpHeader()).getStatus();
+        String body = content.getContent().toStringContent(StandardCharsets.UTF_8);
+        content.recycle();
+        if (ctx.getConnection() != connection || !waiting) {
+            return ctx.getStopAction();
+        }
+        if (status != 200) {
+            failed(call, "status " + status, false);
+        } else {
+            waiting = false;
+            caller.answered(body);
+        }
+        return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        if (ctx.getConnection() == connection) {
+            connection = null;
+            book.sockets--;
+            failed(call, "connection broken", false);
+        }
+        return ctx.getInvokeAction();
+    }
+
+    private void failed(int n, String why, boolean silent) {
+        if (call == n && waiting) {
+            hangUp();
+            caller.failed(why, silent);
+        }
+    }
+
+    /** Closes the connection; a call that is out ends in nothing. */
+    public void hangUp() {
+        waiting = false;
+        if (connection != null) {
+            Connection<?> dead = connection;
+            connection = null;
+            book.sockets--;
+            dead.terminateSilently();
+        }
+    }
+}
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -32,8 +32,6 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.memory.PooledMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -108,8 +106,6 @@
         limits();
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
         probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
-        discovery.through(FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter())
-                .add(discovery).build());
         transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
                 .add(new TakeIn(loop, config.words, talk, book, lobby, () -> !farewell.quiet())).add(admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
