Discovery: whatever a call failed on, the list is heard again within 6 s of its return

Cause, each shown by ReturnTest with the main sources of: a call that discovery took and never answered, sent after a failure, was a watch again, so it was given up after 11 s; the back-off grew to 4 s (5 with its chance), so of twenty relays at one service that refuses most the last ones came too late; and a connection that never came up was given up but left open, until the system let go of it. A kept connection that was closed as idle just behind a call counted as a failure and ended the watch.

Change: the first call after a failure does not wait for news and is given up after 4 s; listFailed waits a second at most (a fortieth of one a sibling, 3 s at most, where there are more; half the grace where lists are pushed, as before), and half a second after a silent call. Where lists are asked for, a watch refused as it opens rests for 2 s, for those that have no list. LongPoll holds a connection from its first moment and ends it; a kept one that ends within 0.2 s behind a call is dialled anew once.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -961,13 +961,13 @@
         window = windowCutAt == 0 ? Math.max(window, start) : window;
     }
 
-    /** Asking the list failed or its changes stopped coming: ask again, later each time. */
+    /** Asking the list failed: ask again, later each time; soon after a silent call, which took its time. */
     public void listFailed(boolean silent) {
-        // What is pushed counts as told from the service's return on: it must be heard within the grace.
-        double most = set.listMustBeAsked ? Math.min(4, set.askEvery / 2) : set.drainGrace / 2;
-        // What a silent watch missed counts as told soon; only a service that refuses is spared at once.
-        double wait = silent && listBackOff == BACK_OFF ? 0 : Math.min(most, listBackOff);
-        front.wake(wait * (0.75 + 0.5 * random.nextDouble()), ASK_LIST);
+        // What is pushed counts from the service's return on, within the grace; what is asked for soon after
+        double most = Math.min(Math.max(1, set.siblings / 40.0), Math.min(3, set.askEvery / 2));
+        most = set.listMustBeAsked ? most : set.drainGrace / 2;
+        double wait = !silent ? listBackOff : listBackOff == BACK_OFF ? 0 : Math.min(most, BACK_OFF);
+        front.wake(wait * (0.5 + 0.5 * random.nextDouble()), ASK_LIST);
         listBackOff = Math.min(most, 2 * listBackOff);
     }
 
--- a/relay/src/main/java/asterpulley/list/Discovery.java
+++ b/relay/src/main/java/asterpulley/list/Discovery.java
@@ -33,24 +33,45 @@
      * so long after this relay was sent to another address. By then it must have been opened anew.
      */
     private static final double TOLD_AFTER_WAIT = 2, TOLD_AFTER_MOVE = 4;
+    /**
+     * Whatever a call failed on, a change counts as told so long after discovery could be reached again, which may be
+     * just behind a call that was lost. By then that one must be given up, a pause be over and a new one answered.
+     */
+    private static final double TOLD_AFTER_FAILURE = 6;
     /** Of that, what a new call takes: a connection, the others' calls before it, and the list on its way. */
     private static final double ANEW = 1;
+    /** The pause after a call that took so long is at most half a second, and the rest is margin. */
+    private static final double PAUSE = 1, LONG = 2;
+    /**
+     * Where the list is asked for, the first pause after a watch that was refused as it opened: discovery has too many
+     * callers then, and those that are still without its list come first.
+     */
+    private static final double SATED = 2;
 
     private final Fleet.Names names;
     private final Loop loop;
     private final Book book;
     private final Route route;
     private final LongPoll poll;
+    private final boolean pushed;
     private final Map<String, String> dials = new HashMap<>();
     private long version;
     private boolean watching, down;
+    /** The last call failed: what has changed since then is asked for first, by a call that does not wait for news. */
+    private boolean behind;
+    private double calledAt;
+    private int calls;
     /** Is told once that the list is as discovery has it now; until then calls do not wait for news. */
     private Runnable whenCurrent;
 
-    /** {@code address}: null where there is no discovery and the list only comes from the configuration. */
-    public Discovery(InetSocketAddress address, Fleet.Names names, Fleet known, Loop loop, Book book, Route route,
+    /**
+     * {@code address}: null where there is no discovery and the list only comes from the configuration; {@code pushed}:
+     * what discovery has counts as told at once, heard or not.
+     */
+    public Discovery(InetSocketAddress address, boolean pushed, Fleet.Names names, Fleet known, Loop loop, Book book, Route route,
             TCPNIOTransport transport) {
         this.names = names;
+        this.pushed = pushed;
         this.loop = loop;
         this.book = book;
         this.route = route;
@@ -85,6 +106,7 @@
             return;
         }
         version = LongPoll.NONE;
+        behind = false;
         poll.moveTo(to);
         watching = true;
         call();
@@ -92,9 +114,15 @@
 
     private void call() {
         book.count("list_calls");
-        boolean mayWait = version != LongPoll.NONE && whenCurrent == null;
-        poll.call(version, whenCurrent == null ? WAIT : AT_ONCE,
-                (mayWait ? WAIT + TOLD_AFTER_WAIT : TOLD_AFTER_MOVE) - ANEW);
+        calledAt = loop.now();
+        calls++;
+        if (behind) {
+            poll.call(version, AT_ONCE, TOLD_AFTER_FAILURE - PAUSE - ANEW);
+        } else if (version == LongPoll.NONE || whenCurrent != null) {
+            poll.call(version, AT_ONCE, TOLD_AFTER_MOVE - ANEW);
+        } else {
+            poll.call(version, WAIT, WAIT + TOLD_AFTER_WAIT - ANEW);
+        }
     }
 
     @Override
@@ -105,9 +133,10 @@
             fleet = Fleet.read(Json.object(Json.value(parser), "the list"), names);
         } catch (IOException | Json.Malformed e) {
             poll.hangUp();
-            failed("malformed: " + e.getMessage(), false);
+            failed("malformed: " + e.getMessage().lines().findFirst().orElse(""), false);
             return;
         }
+        behind = false;
         version = fleet.version();
         note(fleet);
         if (down) {
@@ -145,6 +174,18 @@
             down = true;
             LOG.info("discovery down (" + why + "), list " + version + " kept, backends " + dials.size());
         }
-        route.listFailed(silent);
+        boolean tookLong = loop.now() - calledAt > LONG;
+        if (pushed || behind || tookLong || !poll.refused()) {
+            // A call that took long and then failed has spared discovery as a silent one has.
+            route.listFailed(silent || behind && tookLong);
+        } else {
+            int n = calls;
+            loop.after(SATED, () -> {
+                if (n == calls) {
+                    route.listFailed(false);
+                }
+            });
+        }
+        behind = true;
     }
 }
--- a/relay/src/main/java/asterpulley/net/LongPoll.java
+++ b/relay/src/main/java/asterpulley/net/LongPoll.java
@@ -40,6 +40,8 @@
     public static final long NONE = -1;
     /** A connection that is not up by now has none coming. */
     private static final double CONNECT = 1.5;
+    /** A kept connection that ends so soon behind a call was closed as idle: that says nothing of the other side. */
+    private static final double CROSSED = 0.2;
 
     private final String path;
     private final Caller caller;
@@ -49,8 +51,11 @@
     private final FilterChain chain;
     private InetSocketAddress address;
     private Connection<?> connection;
-    private boolean waiting;
-    private int call;
+    private boolean up, kept, waiting;
+    private double askedAt;
+    private String query;
+    private int call, status;
+    private Loop.Due patience;
 
     public LongPoll(String path, InetSocketAddress address, Caller caller, Loop loop, Book book, TCPNIOTransport transport) {
         this.path = path;
@@ -79,29 +84,45 @@
     public void call(long version, double wait, double patience) {
         int n = ++call;
         waiting = true;
-        loop.after(patience, () -> failed(n, "no answer", true));
-        String query = version == NONE ? null : "index=" + version + "&wait=" + Math.round(wait * 1000);
+        status = 0;
+        if (this.patience != null) {
+            this.patience.cancel();
+        }
+        this.patience = loop.after(patience, () -> failed(n, "no answer", true));
+        query = version == NONE ? null : "index=" + version + "&wait=" + Math.round(wait * 1000);
         if (connection != null && connection.isOpen()) {
-            ask(query);
+            kept = true;
+            ask();
             return;
         }
-        TCPNIOConnectorHandler dial = TCPNIOConnectorHandler.builder(transport).processor(chain).build();
+        hangUp();
+        waiting = true;
+        dial(n);
+    }
+
+    private void dial(int n) {
+        kept = false;
         loop.after(CONNECT, () -> {
-            if (call == n && connection == null) {
+            if (!up && !kept) {
                 failed(n, "no connection", false);
             }
         });
-        connection = null;
+        TCPNIOConnectorHandler dial = new TCPNIOConnectorHandler(transport) {
+            @Override
+            protected void preConfigure(Connection dialled) {
+                // Held from its first moment on: one that never comes up must not be left behind.
+                connection = dialled;
+                book.sockets++;
+            }
+        };
+        dial.setProcessor(chain);
         dial.connect(address, new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection opened) {
-                if (call != n || !waiting) {
-                    opened.terminateSilently();
-                    return;
+                if (opened == connection) {
+                    up = true;
+                    ask();
                 }
-                connection = opened;
-                book.sockets++;
-                ask(query);
             }
 
             @Override
@@ -111,7 +132,13 @@
         });
     }
 
-    private void ask(String query) {
+    /** The last call was answered, and not with 200. */
+    public boolean refused() {
+        return status != 0 && status != 200;
+    }
+
+    private void ask() {
+        askedAt = loop.now();
         HttpRequestPacket.Builder request = HttpRequestPacket.builder().method("GET").uri(path).protocol("HTTP/1.1")
                 .header("Host", address.getHostString() + ":" + address.getPort());
         if (query != null) {
@@ -126,13 +153,14 @@
         if (!content.isLast()) {
             return ctx.getStopAction(content);
         }
-        int status = ((HttpResponsePacket) content.getHttpHeader()).getStatus();
+        int answer = ((HttpResponsePacket) content.getHttpHeader()).getStatus();
         String body = content.getContent().toStringContent(StandardCharsets.UTF_8);
         content.recycle();
         if (ctx.getConnection() != connection || !waiting) {
             return ctx.getStopAction();
         }
-        if (status != 200) {
+        status = answer;
+        if (refused()) {
             failed(call, "status " + status, false);
         } else {
             waiting = false;
@@ -144,9 +172,15 @@
     @Override
     public NextAction handleClose(FilterChainContext ctx) {
         if (ctx.getConnection() == connection) {
+            boolean wasUp = up;
+            up = false;
             connection = null;
             book.sockets--;
-            failed(call, "connection broken", false);
+            if (waiting && kept && loop.now() - askedAt < CROSSED) {
+                dial(call);
+            } else {
+                failed(call, wasUp ? "connection broken" : "no connection", false);
+            }
         }
         return ctx.getInvokeAction();
     }
@@ -161,6 +195,7 @@
     /** Closes the connection; a call that is out ends in nothing. */
     public void hangUp() {
         waiting = false;
+        up = false;
         if (connection != null) {
             Connection<?> dead = connection;
             connection = null;
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -91,7 +91,8 @@
         LineTalk talk = new LineTalk();
         Lobby lobby = new Lobby(loop, book, talk);
         route = new Route(loop, book);
-        discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
+        discovery = new Discovery(config.discovery, !config.settings.listMustBeAsked, config.names, config.known, loop, book,
+                route, transport);
         farewell = new Farewell(loop, book, route, lobby, this::shut);
         kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
         operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept);
