--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -32,8 +32,6 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.memory.PooledMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -93,7 +91,8 @@
         LineTalk talk = new LineTalk();
         Lobby lobby = new Lobby(loop, book, talk);
         route = new Route(loop, book);
-        discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
+        discovery = new Discovery(config.discovery, !config.settings.listMustBeAsked, config.names, config.known, loop, book,
+                route, transport);
         farewell = new Farewell(loop, book, route, lobby, this::shut);
         kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
         operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept);
@@ -108,8 +107,6 @@
         limits();
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
         probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
-        discovery.through(FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter())
-                .add(discovery).build());
         transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
                 .add(new TakeIn(loop, config.words, talk, book, lobby, () -> !farewell.quiet())).add(admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
