Relay: idle clients make room for a whole line, setups and seeks; newcomers queue for them

Cause, on 64 sockets with 200 idle clients and discovery down (40 clients that say their line at once): 0 of 40 were served, 39 were told BUSY at the accept, before a word was read, since every idle one was younger than the 0.1 s after which it gave way (accepted=757 declined_no_sockets=702 gave_way=710 taken=1). The one whose line was read met Admit's lower bound, which needs five idle ones to go, all older than that. Ruled out: the accept queue (it was drained), the probes' connections (one), the watch. Two more of the same kind: a tunnel that waits for the window, and seeks of a new list, dialled past limits.sockets, since only open sockets were counted; and where the machine itself refuses an accept (EMFILE) Grizzly says nothing, the selector met the same connection in every round (0.7 s of processor time a second) and the queue moved only as idle ones were ended after 1.5 s, 92 in 6.8 s.

Change: Lobby.makeRoom lets idle ones go at once for a whole line, a setup or a seek (none whose line may be unread yet), and nobody where that is not enough; for a newcomer only after 0.02 s of silence or 0.1 s of a line, until when the newcomer waits in the queue (Accepting). What tunnels have yet to dial counts. A refused accept makes what is in use the bound for 5 s and rests 0.02 s (accepts_refused).

Run: CrowdTest, ServeTest, LeftTest, LeavingTest, OperatorsTest, BordersTest, DeployTest.

--- a/relay/src/main/java/asterpulley/net/Admit.java
+++ b/relay/src/main/java/asterpulley/net/Admit.java
@@ -1,6 +1,7 @@
 package asterpulley.net;
 
 import asterpulley.Settings;
+import java.io.IOException;
 import java.util.Random;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -9,19 +10,26 @@
 /**
  * The second stage, admit: owns the relay's own room, which is sockets. A tunnel needs two, and some stay in
  * reserve so that newcomers can always be accepted and told to come back. It must never judge backends: that is
- * the module's.
+ * the module's; and never decline a client with a whole line while enough idle ones can make room for it.
  */
 public final class Admit extends BaseFilter {
+    /** Who else holds the machine's descriptors may have let them go by then. */
+    private static final double SCARCE_FOR = 5;
+
+    private final Loop loop;
     private final Settings settings;
     private final Talk talk;
     private final Book book;
     private final Lobby lobby;
     private final Random random;
-    private int room;
+    /** As told; less where the machine gave fewer of late. */
+    private int told, room;
     private int reserve;
+    private Loop.Due scarce;
     private boolean crowded;
 
-    public Admit(Settings settings, Talk talk, Book book, Lobby lobby, Random random) {
+    public Admit(Loop loop, Settings settings, Talk talk, Book book, Lobby lobby, Random random) {
+        this.loop = loop;
         this.settings = settings;
         this.talk = talk;
         this.book = book;
@@ -34,8 +42,41 @@
      * what is above a lower one leaves by itself, and nothing new comes meanwhile.
      */
     public void room(int sockets) {
+        told = sockets;
+        bound(told);
+    }
+
+    private void bound(int sockets) {
         room = sockets;
         reserve = Math.max(8, room / 16);
+        lobby.most(room - reserve / 2);
+    }
+
+    /**
+     * The machine refused a descriptor: what is in use now is the bound, for a while, and who is idle makes room below
+     * it. A newcomer waits in the queue meanwhile, and setups still get theirs.
+     */
+    void refused(IOException why) {
+        book.count("accepts_refused");
+        if (scarce == null) {
+            book.log("no descriptor for a newcomer (" + why.getMessage() + "), in use " + book.sockets + " of " + room);
+        } else {
+            scarce.cancel();
+        }
+        scarce = loop.after(SCARCE_FOR, () -> {
+            scarce = null;
+            bound(told);
+        });
+        bound(Math.min(room, book.sockets));
+        lobby.makeRoom(room - reserve / 2, true);
+    }
+
+    /**
+     * How many seconds the next newcomer waits in the queue: where all sockets for newcomers are idle ones', until one of
+     * these has had the time to say its line. Where nobody is idle it is told at once.
+     */
+    double queue() {
+        return lobby.makeRoom(room - reserve / 2 - 1, false) ? 0 : lobby.nextIdle();
     }
 
     /**
@@ -44,7 +85,7 @@
      */
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-        if (!fits(room - reserve / 2)) {
+        if (!lobby.makeRoom(room - reserve / 2, false)) {
             Leg leg = Leg.of(ctx.getConnection());
             book.count("declined_no_sockets");
             talk.decline(leg, comeBack());
@@ -58,9 +99,9 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         if (ctx.getMessage() instanceof Passage passage) {
-            boolean full = !fits(room - reserve - 1);
-            // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free.
-            if (full ? !crowded : crowded && book.sockets < room - reserve - reserve / 2) {
+            boolean full = !lobby.makeRoom(room - reserve - 1, true);
+            // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free, or idle ones'.
+            if (full ? !crowded : crowded && book.sockets - lobby.idle() < room - reserve - reserve / 2) {
                 crowded = full;
                 book.log((full ? "no sockets left: declining" : "sockets again") + ", in use " + book.sockets
                         + " of " + room);
@@ -74,14 +115,6 @@
         return ctx.getInvokeAction();
     }
 
-    private boolean fits(int most) {
-        boolean freed = true;
-        while (book.sockets > most && freed) {
-            freed = lobby.giveWay();
-        }
-        return book.sockets <= most;
-    }
-
     private double comeBack() {
         return settings.longestRetryAfter * (0.5 + 0.5 * random.nextDouble());
     }
--- a/relay/src/main/java/asterpulley/net/Book.java
+++ b/relay/src/main/java/asterpulley/net/Book.java
@@ -118,6 +118,15 @@
         return passages.size();
     }
 
+    /** How many tunnels have no socket at a backend yet, or none any more, and will need one. */
+    public int undialled() {
+        int count = 0;
+        for (Passage passage : passages.values()) {
+            count += passage.answered || passage.out ? 0 : 1;
+        }
+        return count;
+    }
+
     /** Is told of every tunnel as it is let go. */
     public void whenLeft(Consumer<Passage> then) {
         left = then;
--- a/relay/src/main/java/asterpulley/net/Dialer.java
+++ b/relay/src/main/java/asterpulley/net/Dialer.java
@@ -46,6 +46,7 @@
             loop.after(0, failed);
             return null;
         }
+        lobby.makeRoom();
         Dial dial = new Dial(transport, connected, failed);
         dial.setProcessor(chain);
         dial.timer = loop.after(Math.min(connectTimeout, timeout), dial::giveUp);
--- a/relay/src/main/java/asterpulley/net/Leg.java
+++ b/relay/src/main/java/asterpulley/net/Leg.java
@@ -32,6 +32,8 @@
     /** What the front keeps of words that have come in part. */
     public Object partly;
     public final double since;
+    /** The look at the sockets in which it came; what came with it is found in the next one. */
+    private final long cameIn;
     private final Loop loop;
     private final Book book;
     private final Lobby lobby;
@@ -56,6 +58,7 @@
         this.loop = loop;
         this.book = book;
         this.lobby = lobby;
+        cameIn = loop.looks();
         since = loop.now();
         spokeAt = since;
         book.sockets++;
@@ -66,6 +69,16 @@
         return LEG.get(connection);
     }
 
+    /** Whether all that came with it was read: a whole look at the sockets has passed since. */
+    public boolean lookedAt() {
+        return loop.looks() > cameIn + 1;
+    }
+
+    /** Part of a line has come, and the rest is awaited. */
+    public boolean inPart() {
+        return awaited && spokeAt > since;
+    }
+
     public boolean closed() {
         return closed;
     }
--- a/relay/src/main/java/asterpulley/net/Listener.java
+++ b/relay/src/main/java/asterpulley/net/Listener.java
@@ -8,6 +8,8 @@
 import java.nio.channels.ServerSocketChannel;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.ConnectionProbe;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.nio.ChannelConfigurator;
 import org.glassfish.grizzly.nio.NIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -18,11 +20,19 @@
  * while that one goes on: a connection that waits in the queue then must be taken, never be closed with the queue.
  */
 public final class Listener {
+    private static final Attribute<Listener> LISTENER = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("listener");
+
     private final TCPNIOServerConnection listening;
     private boolean tookOne, closed;
 
     private Listener(TCPNIOServerConnection listening) {
         this.listening = listening;
+        LISTENER.set(listening, this);
+    }
+
+    /** Whether clients connect there: others may listen as well. */
+    static boolean isClients(Connection<?> listening) {
+        return LISTENER.isSet(listening);
     }
 
     /** Listens from now on; {@code shared}: beside other processes of the same user that share it as well. */
--- a/relay/src/main/java/asterpulley/net/Lobby.java
+++ b/relay/src/main/java/asterpulley/net/Lobby.java
@@ -1,12 +1,14 @@
 package asterpulley.net;
 
 import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.List;
 
 /**
  * Owns the connections that hold a socket but no tunnel: newcomers whose line is still to come, and leavers that have
  * heard their last word. It bounds how long each may stay, and lets the oldest go where a socket is needed. It must
- * never end a connection that a tunnel uses, nor one that has hardly had the time to say its line, nor close on a
- * newcomer that still waits for a first answer without one.
+ * never end a connection that a tunnel uses, nor one whose line may have come with it and was not read yet, nor close
+ * on a newcomer that still waits for a first answer without one, nor let an idle one go where that makes no room.
  */
 public final class Lobby {
     /**
@@ -14,8 +16,11 @@
      * this time, or nothing more, holds a socket that another could use.
      */
     private static final double WORDLESS = 1.5;
-    /** A newcomer gives way to another only after this: its line may be on its way. */
-    private static final double FIRST_WORDS = 0.1;
+    /**
+     * Who says nothing gives way to a newcomer only after this, and who has begun its line after that: the rest may be on
+     * its way. Where all descriptors are idle ones' the queue moves at so many in this time.
+     */
+    private static final double FIRST_WORDS = 0.02, WHOLE_LINE = 0.1;
     /** A peer that was told the last word is waited for this long, so that a reset does not destroy that word. */
     private static final double LINGER = 1;
     private static final double SWEEP = 0.1;
@@ -25,6 +30,8 @@
     private final Talk talk;
     private final ArrayDeque<Leg> newcomers = new ArrayDeque<>();
     private final ArrayDeque<Leg> leavers = new ArrayDeque<>();
+    /** So many sockets, and who has no tunnel makes room for what this relay dials. */
+    private int most = Integer.MAX_VALUE;
 
     public Lobby(Loop loop, Book book, Talk talk) {
         this.loop = loop;
@@ -51,26 +58,65 @@
         leavers.add(leg);
     }
 
-    /** Frees a socket where somebody can spare one: who was answered already, else who was silent the longest. */
-    public boolean giveWay() {
-        for (Leg leg = leavers.poll(); leg != null; leg = leavers.poll()) {
-            if (!leg.closed()) {
-                return gone(leg, "gave_way");
-            }
+    /** The sockets up to which somebody without a tunnel may hold one. */
+    public void most(int sockets) {
+        most = sockets;
+    }
+
+    /** One more socket is about to be dialled: who is idle must not be in its way. */
+    public void makeRoom() {
+        if (!makeRoom(most - 1, true)) {
+            makeRoom(book.sockets + book.undialled() - 1, true);
+        }
+    }
+
+    /**
+     * True where no more sockets than that are in use, or needed by tunnels that are taken in and have none at a backend
+     * yet. Where there are more, who was answered already gives way, then who has been silent the longest, then who has
+     * said part of its line; the latter two only where there are enough of them, and, unless {@code atOnce}, only once
+     * they have had the time for it.
+     */
+    public boolean makeRoom(int sockets, boolean atOnce) {
+        if (book.sockets + book.held() <= sockets) {
+            return true;
+        }
+        int over = book.sockets + book.undialled() - sockets;
+        for (; over > 0 && !leavers.isEmpty(); over -= gaveWay(leavers.poll())) {
+            // Its last word is said.
+        }
+        if (over <= 0) {
+            return true;
         }
-        for (Leg leg = newcomers.peek(); leg != null; leg = newcomers.peek()) {
-            boolean waits = waits(leg);
-            if (waits && loop.now() - leg.since < FIRST_WORDS) {
-                return false;
-            }
-            newcomers.poll();
-            if (waits) {
-                // Its socket is needed now: the word goes out with the end.
-                say(leg);
-                return gone(leg, "gave_way");
-            }
+        List<Leg> idle = newcomers.stream()
+                .filter(leg -> waits(leg) && (atOnce ? leg.lookedAt() : timeFor(leg) <= 0))
+                .sorted(Comparator.comparing(Leg::inPart)).toList();
+        if (idle.size() < over) {
+            return false;
         }
-        return false;
+        for (Leg leg : idle.subList(0, over)) {
+            // Its socket is needed now: the word goes out with the end.
+            say(leg);
+            gaveWay(leg);
+        }
+        return true;
+    }
+
+    /** How many sockets are held by who has said no line yet, or nothing more. */
+    public long idle() {
+        return newcomers.stream().filter(Lobby::waits).count();
+    }
+
+    /** When somebody who is idle will have had the time for its line, in seconds from now; 0 where all have, or none is. */
+    public double nextIdle() {
+        return newcomers.stream().filter(Lobby::waits).mapToDouble(this::timeFor).filter(time -> time > 0).min().orElse(0);
+    }
+
+    private double timeFor(Leg leg) {
+        return (leg.inPart() ? leg.since + WHOLE_LINE : leg.spokeAt + FIRST_WORDS) - loop.now();
+    }
+
+    private int gaveWay(Leg leg) {
+        return !leg.closed() && gone(leg, "gave_way") ? 1 : 0;
     }
 
     /** Whether somebody's first line, or the rest of it, may still be on its way. */
--- a/relay/src/main/java/asterpulley/net/Loop.java
+++ b/relay/src/main/java/asterpulley/net/Loop.java
@@ -48,14 +48,20 @@
     private final Queue<Runnable> handedIn = new ConcurrentLinkedQueue<>();
     private volatile Selector selector;
     private long order;
-    /** When the sockets were last looked at. */
+    /** When the sockets were last looked at, and how often so far. */
     private double looked;
+    private long looks;
 
     /** Unix seconds as at the start, moved on by the steady clock: start times of backends compare with it. */
     public double now() {
         return wallAtStart + (System.nanoTime() - nanosAtStart) / 1e9;
     }
 
+    /** How often the sockets were looked at. */
+    public long looks() {
+        return looks;
+    }
+
     /** Runs this after so many seconds; only from the loop's own thread, or before it starts. */
     public Due after(double seconds, Runnable what) {
         Due due = new Due(now() + Math.max(0, seconds), order++, what);
@@ -85,6 +91,7 @@
             selector.select((long) Math.ceil(Math.min(30, wait) * 1000));
         }
         looked = now();
+        looks++;
         return selector.selectedKeys();
     }
 
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -10,6 +10,7 @@
 import asterpulley.line.Send;
 import asterpulley.line.TakeIn;
 import asterpulley.list.Discovery;
+import asterpulley.net.Accepting;
 import asterpulley.net.Admit;
 import asterpulley.net.Book;
 import asterpulley.net.Dialer;
@@ -37,7 +38,6 @@
 import org.glassfish.grizzly.memory.PooledMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import sun.misc.Signal;
 
@@ -84,7 +84,7 @@
         this.config = config;
         book = new Book(config.settings.profiles.stream().map(p -> p.name).toList());
         transport = TCPNIOTransportBuilder.newInstance().setName("relay")
-                .setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
+                .setSelectorRunnersCount(1)
                 .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("relay").setCorePoolSize(1)
                         .setMaxPoolSize(1))
                 .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
@@ -104,7 +104,8 @@
         talk.through(send, relay);
         Probes probes = new Probes(config.settings, loop, book, dialer, route);
         SocketFilter sockets = new SocketFilter(transport, loop, book, lobby);
-        admit = new Admit(config.settings, talk, book, lobby, new Random(config.seed));
+        admit = new Admit(loop, config.settings, talk, book, lobby, new Random(config.seed));
+        transport.setIOStrategy(new Accepting(loop, admit));
         limits();
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
         probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
--- a/relay/src/test/java/asterpulley/serve/RelayStage.java
+++ b/relay/src/test/java/asterpulley/serve/RelayStage.java
@@ -160,11 +160,27 @@
         final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
         final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
 
+        private final Set<End> callers = ConcurrentHashMap.newKeySet();
+
         Registry() throws IOException {
-            listening = listen(this::serve);
+            this(0);
+        }
+
+        /** {@code port}: where another one was that is down. */
+        Registry(int port) throws IOException {
+            listening = listen(port, this::serve);
+        }
+
+        /** Ends who waits, and refuses who calls, until there is another one at its port. */
+        void down() throws IOException {
+            listening.close();
+            for (End caller : callers) {
+                caller.close();
+            }
         }
 
         private void serve(End end) throws Exception {
+            callers.add(end);
             for (String line = end.line(); line != null; line = end.line()) {
                 if (line.startsWith("GET ")) {
                     calls.add(line.split(" ")[1]);
@@ -271,7 +287,11 @@
     }
 
     ServerSocket listen(Host host) throws IOException {
-        ServerSocket listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        return listen(0, host);
+    }
+
+    ServerSocket listen(int port, Host host) throws IOException {
+        ServerSocket listening = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
         open.add(listening);
         background(() -> {
             while (true) {
@@ -346,7 +366,12 @@
     }
 
     End client(String profile, int patience) throws IOException {
-        End end = connect();
+        return client(serve.address(), profile, patience);
+    }
+
+    End client(InetSocketAddress relay, String profile, int patience) throws IOException {
+        End end = new End(new Socket(relay.getAddress(), relay.getPort()));
+        open.add(end);
         end.say(OPEN.formatted(++clients, profile, patience) + "\r\n");
         return end;
     }
