Tests: who has left is not sent on, on the paths not yet forced; each shown with a planted fault

Paths walked for an attempt that begins after its client left: first line whole (also of who left before it was accepted), waiting for a seek, waiting for the window in the turn in which it opens, dial pending, connection late, further setup after BUSY, ERR, reset, end, refusal and the end of patience, recall by a list, the tries for tunnels that stood before; left by end, by reset, and by either behind 100 KB of words that nobody had read. No hole was found, so nothing but tests changes: every setup is written in Send.connected alone, right behind a look at the client's socket, and before UP the client's side is always read (only a standing tunnel's is ever held back), words there being answered with ERR. Read only, no test of its own: widen of pools and a cordon (they come to the same setup and recall); a line in part in a slow server's buffer (the system takes a line of 4 KiB whole on a new connection).

Planted: that look says "it waits", and Relay.left and early words do nothing. LeftTest then: aRecalledSetup...: expected: <1> but was: <3> aSetupWhosePatienceEnds...: the first ones ==> expected: <4> but was: <5> afterAnyEndOfItsFirstSetup...: expected: <null> but was: <OPEN 4 7f3a c=chat,t=acme,d=782,g=5c0f> anEndOfASetup...: the first ones, ended by 'BUSY' ==> expected: <4> but was: <6> whoHadLeftBeforeItsLineWasRead...: expected: <UP r1> but was: <BUSY 695> whoWaitsForTheWindow...: expected: <2> but was: <5> With the look alone planted: afterAnyEnd..., whoHadLeft... and anEndThatMeetsTheConnection... fail.

--- a/relay/src/test/java/asterpulley/serve/LeftTest.java
+++ b/relay/src/test/java/asterpulley/serve/LeftTest.java
@@ -7,6 +7,8 @@
 import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -149,4 +151,221 @@
         await("accepted", 12);
         assertEquals(12, counted("setups"));
     }
+
+    /** The ways of leaving: its end may stand behind words that nobody has read yet. */
+    private enum Leaves {
+        ENDING {
+            @Override
+            void by(End client) throws Exception {
+                client.socket.shutdownOutput();
+            }
+        },
+        RESETTING {
+            @Override
+            void by(End client) throws Exception {
+                client.reset();
+            }
+        },
+        ENDING_BEHIND_WORDS {
+            @Override
+            void by(End client) throws Exception {
+                client.say("word\r\n".repeat(20_000));
+                client.socket.shutdownOutput();
+            }
+        },
+        RESETTING_BEHIND_WORDS {
+            @Override
+            void by(End client) throws Exception {
+                client.say("word\r\n".repeat(20_000));
+                client.reset();
+            }
+        };
+
+        abstract void by(End client) throws Exception;
+    }
+
+    /** Until so many tunnels are held and no more: nothing can happen to the others. */
+    private void awaitHeld(int count) throws Exception {
+        for (int held = count + 1; held > count; Thread.yield()) {
+            CompletableFuture<Integer> got = new CompletableFuture<>();
+            serve.counted(book -> got.complete(book.held()));
+            held = got.get(20, TimeUnit.SECONDS);
+        }
+    }
+
+    private String noProbes(String told) {
+        return told.replace("\"probes\":true", "\"probes\":false").replace("\"setupGoalMs\":2000", "\"setupGoalMs\":3600")
+                .replace("\"clientTimeoutMs\":3000", "\"clientTimeoutMs\":9000")
+                .replace("\"dialTimeoutMs\":1000", "\"dialTimeoutMs\":5000");
+    }
+
+    @Test
+    void afterAnyEndOfItsFirstSetupNoFurtherOneIsWrittenForWhoLeftAsItsConnectionCameUp() throws Exception {
+        Backend b = new Backend();
+        Gate gate = new Gate(8);
+        start(config(this::noProbes, 1000, b.entry("s1", "up"), b.entry("s2", "up")));
+        List<End> clients = new ArrayList<>();
+        List<End> setups = new ArrayList<>();
+        for (Leaves way : Leaves.values()) {
+            clients.add(client("chat", 9000));
+            setups.add(b.taken());
+        }
+        await("setups_written", 4);
+        registry.tells(42, b.entry("s1", "removed"), b.entry("s2", "removed"), gate.in(b, "s3"));
+        await("list_calls", 2);
+        setups.get(0).say("BUSY\r\n");
+        setups.get(1).say("ERR\r\n");
+        setups.get(2).reset();
+        setups.get(3).close();
+        await("setups", 8);
+        Runnable on = pause();
+        List<End> up = new ArrayList<>();
+        for (Leaves way : Leaves.values()) {
+            up.add(gate.letIn());
+        }
+        for (Leaves way : Leaves.values()) {
+            way.by(clients.get(way.ordinal()));
+        }
+        on.run();
+        for (End end : up) {
+            assertNull(end.line(), "its client had left before it could be written");
+        }
+        awaitHeld(0);
+        assertEquals(4, counted("setups_written"), "the first ones");
+    }
+
+    @Test
+    void anEndOfASetupThatMeetsItsClientsEndInOneTurnIsTheLast() throws Exception {
+        for (String word : List.of("BUSY\r\n", "ERR\r\n", "")) {
+            Backend b = new Backend();
+            start(config(this::noProbes, 1000, b.entry("s1", "up"), b.entry("s2", "up"), b.entry("s3", "up")));
+            List<End> clients = new ArrayList<>();
+            List<End> setups = new ArrayList<>();
+            for (Leaves way : Leaves.values()) {
+                clients.add(client("chat", 9000));
+                setups.add(b.taken());
+            }
+            await("setups_written", 4);
+            Runnable on = pause();
+            for (Leaves way : Leaves.values()) {
+                End setup = setups.get(way.ordinal());
+                setup.say(word);
+                setup.close();
+                way.by(clients.get(way.ordinal()));
+            }
+            on.run();
+            awaitHeld(0);
+            assertEquals(4, counted("setups_written"), "the first ones, ended by '" + word.strip() + "'");
+            assertTrue(b.tunnels.isEmpty());
+        }
+    }
+
+    @Test
+    void aRecalledSetupOfWhoLeftInThatTurnGoesNowhereElse() throws Exception {
+        Backend b = new Backend();
+        Gate gate = new Gate();
+        start(config(this::noProbes, 1000, gate.in(b, "s1")));
+        List<End> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            clients.add(client("chat", 9000));
+        }
+        await("taken", 8);
+        Runnable on = pause();
+        registry.tells(42, gate.in(b, "s1").replace("\"up\"", "\"draining\""), b.entry("s2", "up"));
+        for (int i = 0; i < clients.size(); i++) {
+            Leaves.values()[i % 4].by(clients.get(i));
+        }
+        on.run();
+        awaitHeld(0);
+        await("list_calls", 2);
+        // Whoever comes after them is sent there, and nobody before.
+        client("chat", 9000);
+        b.taken();
+        await("setups_written", 1);
+        assertEquals(1, counted("setups_written"));
+        assertTrue(b.tunnels.isEmpty());
+    }
+
+    @Test
+    void whoWaitsForTheWindowAndLeavesInTheTurnInWhichItOpensIsNotSentOn() throws Exception {
+        Backend b = new Backend();
+        start(config(this::noProbes, 1000, b.entry("s1", "up")));
+        List<End> out = new ArrayList<>();
+        List<End> first = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            first.add(client("chat", 9000));
+            out.add(b.taken());
+        }
+        List<End> waiting = new ArrayList<>();
+        for (Leaves way : Leaves.values()) {
+            waiting.add(client("chat", 9000));
+        }
+        await("taken", 6);
+        assertEquals(2, counted("setups"), "the others wait for the window");
+        Runnable on = pause();
+        for (End end : out) {
+            end.say("UP r1\r\n");
+        }
+        for (Leaves way : Leaves.values()) {
+            way.by(waiting.get(way.ordinal()));
+        }
+        on.run();
+        for (End end : first) {
+            assertEquals("UP r1", end.line());
+        }
+        awaitHeld(2);
+        assertEquals(2, counted("setups_written"));
+        assertTrue(b.tunnels.isEmpty());
+    }
+
+    @Test
+    void aSetupWhosePatienceEndsInTheTurnInWhichItsClientLeftIsTheLast() throws Exception {
+        Backend b = new Backend();
+        start(config(told -> told.replace("\"probes\":true", "\"probes\":false").replace("\"setupGoalMs\":2000",
+                "\"setupGoalMs\":800"), 1000, b.entry("s1", "up"), b.entry("s2", "up")));
+        List<End> clients = new ArrayList<>();
+        for (Leaves way : Leaves.values()) {
+            clients.add(client("chat", 3000));
+            b.taken();
+        }
+        Runnable on = pause();
+        for (Leaves way : Leaves.values()) {
+            way.by(clients.get(way.ordinal()));
+        }
+        // All their patience is over when the relay looks again.
+        Thread.sleep(900);
+        on.run();
+        awaitHeld(0);
+        assertEquals(4, counted("setups_written"), "the first ones");
+        assertTrue(counted("setup_timed_out") > 0);
+        assertTrue(b.tunnels.isEmpty());
+    }
+
+    @Test
+    void whoHadLeftBeforeItsLineWasReadIsNotSentOn() throws Exception {
+        Backend b = new Backend();
+        Backend refuses = new Backend();
+        refuses.listening.close();
+        start(config(this::noProbes, 1000, b.entry("s1", "up"), refuses.entry("s2", "up")));
+        Runnable on = pause();
+        int count = 12;
+        for (int i = 0; i < count; i++) {
+            End client = client("chat", 9000);
+            if (i % 3 == 0) {
+                client.socket.shutdownOutput();
+            } else if (i % 3 == 1) {
+                client.close();
+            } else {
+                client.reset();
+            }
+        }
+        on.run();
+        await("accepted", count);
+        // One that comes behind them is served, and by then all of them are over.
+        End next = client("chat", 9000);
+        b.opens();
+        assertEquals("UP r1", next.line());
+        assertEquals(1, counted("setups_written"));
+        assertTrue(b.tunnels.isEmpty());
+    }
 }
--- a/relay/src/test/java/asterpulley/serve/RelayStage.java
+++ b/relay/src/test/java/asterpulley/serve/RelayStage.java
@@ -216,7 +216,12 @@
         private final Set<Integer> fillers = new HashSet<>();
 
         Gate() throws IOException {
-            listening = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            this(1);
+        }
+
+        /** {@code backlog}: so many come up together, once they are let in. */
+        Gate(int backlog) throws IOException {
+            listening = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
             listening.setSoTimeout(20_000);
             open.add(listening);
             for (boolean room = true; room;) {
