Relay: connections kept for seeks give way to lines, setups and the first newcomers

Cause: a connection to each backend is kept for 60 s for the next question about its load, and counts as any other. With 20 backends on 64 sockets these alone passed Admit's bound of 15, so every client was declined, idle ones or not.

Change: Lobby.makeRoom asks Probes.hangUp for what idle clients cannot give: the longest unused first, none that is being asked, none where they are too few (probes_gave_way). Newcomers get theirs only up to eight, so that a crowd of idle ones does not cost backends new connections.

--- a/relay/src/main/java/asterpulley/line/Probes.java
+++ b/relay/src/main/java/asterpulley/line/Probes.java
@@ -8,7 +8,9 @@
 import asterpulley.net.Leg;
 import asterpulley.net.Loop;
 import asterpulley.net.Route;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -75,6 +77,23 @@
         loop.after(UNUSED / 4, this::start);
     }
 
+    /**
+     * Ends so many connections on which nothing is asked, the longest unused first, for who needs a socket now; ends none
+     * and says no where there are fewer. The next question dials anew.
+     */
+    public boolean hangUp(int count) {
+        List<Line> unused = lines.values().stream().filter(line -> !line.asked && line.leg != null && !line.leg.closed())
+                .sorted(Comparator.comparingDouble(line -> line.askedAt)).limit(count).toList();
+        if (unused.size() < count) {
+            return false;
+        }
+        for (Line line : unused) {
+            book.count("probes_gave_way");
+            drop(line.leg);
+        }
+        return true;
+    }
+
     public void ask(String host) {
         Line line = lines.computeIfAbsent(host, Line::new);
         if (line.asked) {
--- a/relay/src/main/java/asterpulley/net/Admit.java
+++ b/relay/src/main/java/asterpulley/net/Admit.java
@@ -68,7 +68,7 @@
             bound(told);
         });
         bound(Math.min(room, book.sockets));
-        lobby.makeRoom(room - reserve / 2, true);
+        lobby.makeRoom(room - reserve / 2);
     }
 
     /**
@@ -76,7 +76,7 @@
      * these has had the time to say its line. Where nobody is idle it is told at once.
      */
     double queue() {
-        return lobby.makeRoom(room - reserve / 2 - 1, false) ? 0 : lobby.nextIdle();
+        return lobby.makeRoomForNewcomer(room - reserve / 2 - 1) ? 0 : lobby.nextIdle();
     }
 
     /**
@@ -85,7 +85,7 @@
      */
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-        if (!lobby.makeRoom(room - reserve / 2, false)) {
+        if (!lobby.makeRoomForNewcomer(room - reserve / 2)) {
             Leg leg = Leg.of(ctx.getConnection());
             book.count("declined_no_sockets");
             talk.decline(leg, comeBack());
@@ -99,7 +99,7 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         if (ctx.getMessage() instanceof Passage passage) {
-            boolean full = !lobby.makeRoom(room - reserve - 1, true);
+            boolean full = !lobby.makeRoom(room - reserve - 1);
             // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free, or idle ones'.
             if (full ? !crowded : crowded && book.sockets - lobby.idle() < room - reserve - reserve / 2) {
                 crowded = full;
--- a/relay/src/main/java/asterpulley/net/Lobby.java
+++ b/relay/src/main/java/asterpulley/net/Lobby.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.IntPredicate;
 
 /**
  * Owns the connections that hold a socket but no tunnel: newcomers whose line is still to come, and leavers that have
@@ -21,6 +22,8 @@
      * its way. Where all descriptors are idle ones' the queue moves at so many in this time.
      */
     private static final double FIRST_WORDS = 0.02, WHOLE_LINE = 0.1;
+    /** So many newcomers hold a socket before what this relay keeps for later is kept from them. */
+    private static final int NEWCOMERS = 8;
     /** A peer that was told the last word is waited for this long, so that a reset does not destroy that word. */
     private static final double LINGER = 1;
     private static final double SWEEP = 0.1;
@@ -32,6 +35,7 @@
     private final ArrayDeque<Leg> leavers = new ArrayDeque<>();
     /** So many sockets, and who has no tunnel makes room for what this relay dials. */
     private int most = Integer.MAX_VALUE;
+    private IntPredicate unused = count -> false;
 
     public Lobby(Loop loop, Book book, Talk talk) {
         this.loop = loop;
@@ -58,6 +62,14 @@
         leavers.add(leg);
     }
 
+    /**
+     * {@code unused}: ends so many connections that this relay keeps for later, and says yes; where there are fewer, it
+     * ends none.
+     */
+    public void alsoFrees(IntPredicate unused) {
+        this.unused = unused;
+    }
+
     /** The sockets up to which somebody without a tunnel may hold one. */
     public void most(int sockets) {
         most = sockets;
@@ -65,18 +77,26 @@
 
     /** One more socket is about to be dialled: who is idle must not be in its way. */
     public void makeRoom() {
-        if (!makeRoom(most - 1, true)) {
-            makeRoom(book.sockets + book.undialled() - 1, true);
+        if (!makeRoom(most - 1)) {
+            makeRoom(book.sockets + book.undialled() - 1);
         }
     }
 
     /**
      * True where no more sockets than that are in use, or needed by tunnels that are taken in and have none at a backend
      * yet. Where there are more, who was answered already gives way, then who has been silent the longest, then who has
-     * said part of its line; the latter two only where there are enough of them, and, unless {@code atOnce}, only once
-     * they have had the time for it.
+     * said part of its line, then what this relay only keeps for later; but for the first only where there are enough.
      */
-    public boolean makeRoom(int sockets, boolean atOnce) {
+    public boolean makeRoom(int sockets) {
+        return makeRoom(sockets, true, true);
+    }
+
+    /** As {@link #makeRoom(int)}, but others that are idle must have had the time for their line. */
+    public boolean makeRoomForNewcomer(int sockets) {
+        return makeRoom(sockets, false, idle() <= NEWCOMERS);
+    }
+
+    private boolean makeRoom(int sockets, boolean atOnce, boolean all) {
         if (book.sockets + book.held() <= sockets) {
             return true;
         }
@@ -90,10 +110,10 @@
         List<Leg> idle = newcomers.stream()
                 .filter(leg -> waits(leg) && (atOnce ? leg.lookedAt() : timeFor(leg) <= 0))
                 .sorted(Comparator.comparing(Leg::inPart)).toList();
-        if (idle.size() < over) {
+        if (idle.size() < over && !(all && unused.test(over - idle.size()))) {
             return false;
         }
-        for (Leg leg : idle.subList(0, over)) {
+        for (Leg leg : idle.subList(0, Math.min(over, idle.size()))) {
             // Its socket is needed now: the word goes out with the end.
             say(leg);
             gaveWay(leg);
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -105,6 +105,7 @@
         Probes probes = new Probes(config.settings, loop, book, dialer, route);
         SocketFilter sockets = new SocketFilter(transport, loop, book, lobby);
         admit = new Admit(loop, config.settings, talk, book, lobby, new Random(config.seed));
+        lobby.alsoFrees(probes::hangUp);
         transport.setIOStrategy(new Accepting(loop, admit));
         limits();
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
--- a/relay/src/test/java/asterpulley/serve/CrowdTest.java
+++ b/relay/src/test/java/asterpulley/serve/CrowdTest.java
@@ -247,4 +247,21 @@
         int used = sockets();
         assertTrue(used <= 24, "no more than there are: " + used);
     }
+
+    @Test
+    void connectionsKeptForSeeksGiveWayToWhoSaysItsLine() throws Exception {
+        String[] entries = new String[20];
+        for (int i = 0; i < entries.length; i++) {
+            entries[i] = opening().entry("s" + i, "up");
+        }
+        start(config(64, entries));
+        await("probes_answered", entries.length);
+        List<String> all = answers(serve.address(), CLIENTS);
+        assertEquals(CLIENTS, all.stream().filter("UP r1"::equals).count(), all.toString());
+        new Crowd(serve.address(), IDLE).fills();
+        all = answers(serve.address(), 4);
+        assertEquals(4, all.stream().filter("UP r1"::equals).count(), "among idle ones: " + all);
+        int used = sockets();
+        assertTrue(used <= 24, "no more than there are: " + used);
+    }
 }
