Serve: buffers are pooled by the memory told, not by whatever heap the process has

Each relay pooled 0.03 of the heap: 180 MB in a test process that may take 6 GB, so the relays of ReturnTest behind the others' ran it out of heap (verify ended with OutOfMemoryError in PooledMemoryManager). Now 0.03 of memory_mb; on the platform the heap is below that and nothing changes.

--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -54,6 +54,8 @@
     private static final int OWN_FILES = 40;
     /** The part of the memory that may hold what slow readers have not read. */
     private static final double FOR_SLOW_READERS = 0.1;
+    /** The part that is kept for buffers, also where the process has more than this relay was told. */
+    private static final double POOLED = 0.03;
     /** A start waits so long for news of the list, well within the time in which it has to be ready. */
     private static final double CATCH_UP = 2.5;
     /** Before what a relay knows of its pools, in its log. */
@@ -87,7 +89,7 @@
                         .setMaxPoolSize(1))
                 .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
                 .setReadBufferSize(SocketFilter.BUFFER)
-                .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
+                .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, pooled(config.memory), 0.25f, false)).build();
         LineTalk talk = new LineTalk();
         Lobby lobby = new Lobby(loop, book, talk);
         route = new Route(loop, book);
@@ -189,6 +191,10 @@
         }
     }
 
+    private static float pooled(double memory) {
+        return (float) (POOLED * Math.min(1, memory / Runtime.getRuntime().maxMemory()));
+    }
+
     private void limits() {
         // At an upgrade two processes share the memory.
         book.mostWaiting = (int) (config.memory / (operators == null ? 1 : 2) * FOR_SLOW_READERS / SocketFilter.BUFFER);
