Discovery: a list service that lets no call wait is asked at a pace

Cause: the next call goes out with the last answer, whatever that told. A service that answers a watch at once with nothing new was asked without a pause, for ever.

Change: Pace (asterpulley.net, knows nothing of the list) says how soon the next call goes. An answer within half a second that tells nothing new (nothing, the same entries again, a version not above the highest one heard) is followed by 0.1 s, which keeps the watch up; after twenty on end it is no watch any more and the module says when to ask, as after a failure. Logged once, and once when a call is let wait again; counted as list_idle. News are heard without a pause.

--- a/relay/src/main/java/asterpulley/list/Discovery.java
+++ b/relay/src/main/java/asterpulley/list/Discovery.java
@@ -5,6 +5,7 @@
 import asterpulley.net.Book;
 import asterpulley.net.LongPoll;
 import asterpulley.net.Loop;
+import asterpulley.net.Pace;
 import asterpulley.net.Route;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -53,10 +54,14 @@
     private final Book book;
     private final Route route;
     private final LongPoll poll;
+    private final Pace pace = new Pace();
     private final boolean pushed;
     private final Map<String, String> dials = new HashMap<>();
-    private long version;
-    private boolean watching, down;
+    /** What the last answer told, and the highest of all since the watch is at this address or was last waited on. */
+    private long version, newest;
+    /** The last answer that said something. */
+    private Fleet last;
+    private boolean watching, down, idle;
     /** The last call failed: what has changed since then is asked for first, by a call that does not wait for news. */
     private boolean behind;
     private double calledAt;
@@ -76,7 +81,7 @@
         this.book = book;
         this.route = route;
         poll = new LongPoll(PATH, address, this, loop, book, transport);
-        version = known.version();
+        version = newest = known.version();
         dials.putAll(known.dials());
     }
 
@@ -105,7 +110,7 @@
         if (to == null || to.equals(poll.address())) {
             return;
         }
-        version = LongPoll.NONE;
+        version = newest = LongPoll.NONE;
         behind = false;
         poll.moveTo(to);
         watching = true;
@@ -136,8 +141,15 @@
             failed("malformed: " + e.getMessage().lines().findFirst().orElse(""), false);
             return;
         }
+        boolean says = fleet.whole() || !fleet.servers().isEmpty();
+        boolean again = !says || last != null && fleet.servers().equals(last.servers()) && fleet.dials().equals(last.dials());
+        double pause = behind || whenCurrent != null ? 0
+                : pace.answered(fleet.version() > newest && !again, loop.now() - calledAt, loop.now());
         behind = false;
         version = fleet.version();
+        // Who counts anew from a lower version is believed once it has waited; until then it goes back and forth.
+        newest = pause == 0 ? version : Math.max(newest, version);
+        last = says ? fleet : last;
         note(fleet);
         if (down) {
             down = false;
@@ -147,8 +159,35 @@
             loop.after(0, whenCurrent);
             whenCurrent = null;
         }
-        call();
-        route.listed(fleet.servers(), fleet.whole());
+        next(pause);
+        if (!idle || !again) {
+            route.listed(fleet.servers(), fleet.whole());
+        }
+    }
+
+    /** The next call: with the last answer, or as much later as keeps the watch up, or when the module says so. */
+    private void next(double pause) {
+        if (pause > 0) {
+            book.count("list_idle");
+        }
+        if (idle != pace.givenUp()) {
+            idle = !idle;
+            LOG.info(idle ? "discovery answers at once with nothing new, list " + version + ": no watch, asked now and then"
+                    : "discovery waits for news again, list " + version);
+        }
+        if (pause == 0) {
+            call();
+        } else if (idle) {
+            watching = false;
+            route.listFailed(false);
+        } else {
+            int n = calls;
+            loop.after(pause, () -> {
+                if (n == calls) {
+                    call();
+                }
+            });
+        }
     }
 
     /** A list that the configuration brings, where there is no discovery. */
