Lobby: who gives way is found from the oldest on, not by sorting all newcomers

Change: the search ends with the last one that is needed, and what is no newcomer any more leaves the queue's head at once. CrowdTest, ServeTest and LeavingTest passed.

--- a/relay/src/main/java/asterpulley/net/Lobby.java
+++ b/relay/src/main/java/asterpulley/net/Lobby.java
@@ -1,7 +1,7 @@
 package asterpulley.net;
 
 import java.util.ArrayDeque;
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntPredicate;
 
@@ -88,15 +88,15 @@
      * said part of its line, then what this relay only keeps for later; but for the first only where there are enough.
      */
     public boolean makeRoom(int sockets) {
-        return makeRoom(sockets, true, true);
+        return makeRoom(sockets, true);
     }
 
     /** As {@link #makeRoom(int)}, but others that are idle must have had the time for their line. */
     public boolean makeRoomForNewcomer(int sockets) {
-        return makeRoom(sockets, false, idle() <= NEWCOMERS);
+        return makeRoom(sockets, false);
     }
 
-    private boolean makeRoom(int sockets, boolean atOnce, boolean all) {
+    private boolean makeRoom(int sockets, boolean atOnce) {
         if (book.sockets + book.held() <= sockets) {
             return true;
         }
@@ -107,13 +107,12 @@
         if (over <= 0) {
             return true;
         }
-        List<Leg> idle = newcomers.stream()
-                .filter(leg -> waits(leg) && (atOnce ? leg.lookedAt() : timeFor(leg) <= 0))
-                .sorted(Comparator.comparing(Leg::inPart)).toList();
-        if (idle.size() < over && !(all && unused.test(over - idle.size()))) {
+        List<Leg> idle = idle(over, atOnce);
+        int missing = over - idle.size();
+        if (missing > 0 && !((atOnce || idle() <= NEWCOMERS) && unused.test(missing))) {
             return false;
         }
-        for (Leg leg : idle.subList(0, Math.min(over, idle.size()))) {
+        for (Leg leg : idle) {
             // Its socket is needed now: the word goes out with the end.
             say(leg);
             gaveWay(leg);
@@ -121,6 +120,28 @@
         return true;
     }
 
+    /** So many idle ones at the most that can give way, in the order in which they do. */
+    private List<Leg> idle(int count, boolean atOnce) {
+        while (!newcomers.isEmpty() && !waits(newcomers.peek())) {
+            newcomers.poll();
+        }
+        List<Leg> idle = new ArrayList<>();
+        for (boolean inPart = false; ; inPart = true) {
+            for (Leg leg : newcomers) {
+                if (leg.inPart() == inPart && waits(leg)
+                        && (atOnce ? leg.lookedAt() : timeFor(leg) <= 0)) {
+                    idle.add(leg);
+                }
+                if (idle.size() == count) {
+                    return idle;
+                }
+            }
+            if (inPart) {
+                return idle;
+            }
+        }
+    }
+
     /** How many sockets are held by who has said no line yet, or nothing more. */
     public long idle() {
         return newcomers.stream().filter(Lobby::waits).count();
