--- a/relay/src/main/java/asterpulley/list/Discovery.java
+++ b/relay/src/main/java/asterpulley/list/Discovery.java
@@ -54,7 +54,7 @@
     private final Book book;
     private final Route route;
     private final LongPoll poll;
-    private final Pace pace = new Pace();
+    private Pace pace = new Pace();
     private final boolean pushed;
     private final Map<String, String> dials = new HashMap<>();
     /** What the last answer told, and the highest of all since the watch is at this address or was last waited on. */
@@ -111,7 +111,10 @@
             return;
         }
         version = newest = LongPoll.NONE;
-        behind = false;
+        // What the old address did says nothing of the new one.
+        pace = new Pace();
+        last = null;
+        behind = idle = false;
         poll.moveTo(to);
         watching = true;
         call();
