Cold servers: the sum over all relays stays under what one bears, whatever each one's part rounds to

Change: where held is told, a relay counts its own setups of the last fallTime against its part of half of what the server bears now, less what the last report tells and what it can't tell yet. Rounding is a dither per relay and server, drawn anew about once in that time. A server told to be smaller than SMALLEST counts as that small. Where held isn't told nothing changes but the cap, which no longer has the half there.

--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -95,7 +95,7 @@
     private boolean[] out = {}, owed = {}, unheard = {}, dropped = {};
     private double[] load = {}, extra = {}, placed = {}, own = {}, turns = {};
     private double[] startedAt = {}, seekAt = {}, seenAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
-    private double[] good = {}, bad = {}, coldCredit = {}, drainedAt = {}, waitedAt = {};
+    private double[] good = {}, bad = {}, coldCredit = {}, dither = {}, drainedAt = {}, waitedAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
     private final List<Tunnel> waiting = new ArrayList<>();
     private final List<ArrayDeque<Placement>> recent = new ArrayList<>();
@@ -114,7 +114,7 @@
     private boolean declining, shared, heldTold, loadTold, blind;
     private double moveCredit = 5;
 
-    private record Placement(double at, double step) {
+    private record Placement(double at, double step, double work) {
     }
 
     public Balance(Settings set, long seed, Front front) {
@@ -326,7 +326,7 @@
         if (tun.group != null) {
             groups.get(tun.group)[s]--;
         }
-        later(s, -tun.units / capacity(s));
+        later(s, -tun.units / capacity(s), 0);
     }
 
     /** Sends the next setup of this tunnel, or gives it up. */
@@ -377,11 +377,10 @@
         tun.sentAt = front.now();
         tun.tried.set(s);
         owed[s] = false;
-        later(s, step(s, tun));
-        if (cold(s, front.now())) {
-            // By its load: three heavy tunnels among ten may be half of what a cold server bears.
-            coldCredit[s] -= Math.max(1, units(tun.profile, profileLoad[tun.profile]));
-        }
+        // By its load: three heavy tunnels among ten may be half of what a cold server bears.
+        double work = Math.max(1, units(tun.profile, profileLoad[tun.profile]));
+        coldCredit[s] -= work;
+        later(s, step(s, tun), work);
         front.setup(tun, ep[s], timeout);
     }
 
@@ -593,11 +592,8 @@
     }
 
     private double step(int s, Tunnel tun) {
-        double units = units(tun.profile, profileLoad[tun.profile]);
-        if (tun.group != null && holding(tun.group, s)[s] == 0) {
-            units += GROUP_COST;
-        }
-        return units / capacity(s);
+        double brings = tun.group != null && holding(tun.group, s)[s] == 0 ? GROUP_COST : 0;
+        return (units(tun.profile, profileLoad[tun.profile]) + brings) / capacity(s);
     }
 
     /** All servers in an order that all relays give this group, so that they meet; kept: it costs a sort. */
@@ -647,12 +643,21 @@
 
     /** Not pushed over: this relay keeps to its part of what a cold server can take; siblings do the same. */
     private boolean coldRoom(int s, double now) {
-        return !cold(s, now) || coldCredit[s] >= 1;
+        if (!cold(s, now) || !heldTold || seenAt[s] < startedAt[s]) {
+            return !cold(s, now) || coldCredit[s] >= 1;
+        }
+        // What stands there is told: in any fallTime our part of what is left of half that it bears. It is
+        // rounded by a dither that is drawn anew about once in that time: all relays' parts sum up to it.
+        double sent = recent.get(s).stream().mapToDouble(p -> p.at > now - set.fallTime ? p.work : 0).sum();
+        double untold = Math.max(0, extra[s] * capacity(s)), part = coldPart(s);
+        return Math.max(sent, untold + part * load[s] / set.fallMultiple) + 1 <= part / 2 + dither[s];
     }
 
     /** This relay's equal part of the mean loads that may stand on a cold server now before it falls. */
     private double coldPart(int s) {
-        return set.fallMultiple * capacity(s) / set.siblings;
+        int m = model[s] & 63;
+        double told = heldTold && modelLoad[m] > 0.5 ? modelHeld[m] / modelLoad[m] / SMALLEST : 1;
+        return set.fallMultiple * capacity(s) * Math.min(1, told) / set.siblings;
     }
 
     /** What a tick lets fade and grow. */
@@ -661,18 +666,17 @@
         bad[s] *= KEEP;
         turns[s] *= KEEP;
         if (cold(s, now)) {
-            double grown = coldCredit[s] + coldPart(s) / set.coldTime * TIMER;
-            double most = coldPart(s) * (heldTold ? 0.5 : set.fallTime / set.coldTime);
-            coldCredit[s] = Math.min(Math.max(1, most), grown);
+            double grows = coldPart(s) / set.coldTime;
+            coldCredit[s] = Math.min(Math.max(1, grows * set.fallTime), coldCredit[s] + grows * TIMER);
         }
     }
 
-    private void later(int s, double step) {
+    private void later(int s, double step, double work) {
         extra[s] += step;
         placed[s] += Math.max(0, step);
         turns[s] += blind ? Math.max(0, step) : 0;
-        recent.get(s).removeIf(p -> p.at < front.now() - REPORT_LAG);
-        recent.get(s).add(new Placement(front.now(), step));
+        recent.get(s).removeIf(p -> p.at < front.now() - Math.max(REPORT_LAG, set.fallTime));
+        recent.get(s).add(new Placement(front.now(), step, work));
     }
 
     private void worked(int s, boolean inTime) {
@@ -842,6 +846,8 @@
         silence[s] = 0;
         unheard[s] = false;
         full[s] = false;
+        double drawn = cold(s, now) ? random.nextDouble() * Math.max(1, set.fallTime / (now - seenAt[s])) : 1;
+        dither[s] = drawn < 1 ? drawn : dither[s];
         seenAt[s] = now;
         double seen = !Double.isNaN(report.load) ? report.load : report.busy;
         loadTold |= !Double.isNaN(seen);
@@ -849,19 +855,13 @@
         if (!Double.isNaN(seen)) {
             load[s] = seen;
             eased[s] = false;
-            recent.get(s).removeIf(p -> p.at < now - REPORT_LAG);
             extra[s] = placed[s] = 0;
             for (Placement p : recent.get(s)) {
-                double unseen = 1 - (now - p.at) / REPORT_LAG;
+                double unseen = Math.max(0, 1 - (now - p.at) / REPORT_LAG);
                 extra[s] += unseen * p.step;
                 placed[s] += unseen * Math.max(0, p.step);
             }
-            if (cold(s, now) && heldTold) {
-                // It is told what stands there: our part of what is left of half that it bears may follow.
-                double part = coldPart(s) * (0.5 - seen / set.fallMultiple)
-                        - recent.get(s).stream().filter(p -> p.step > 0).count();
-                coldCredit[s] = Math.max(coldCredit[s], random.nextDouble() < part ? Math.max(1, part) : 0);
-            } else if (running[s] && !cold(s, now)) {
+            if (running[s] && !cold(s, now)) {
                 heldTold |= report.held >= 0;
                 // A report of nothing, as before the first, tells nothing of what fills a server.
                 if (seen >= EMPTY) {
@@ -1053,8 +1053,7 @@
 
     private void restarted(int s, double at) {
         startedAt[s] = at;
-        // Half of what it can bear right away, where reports tell what that is; part of a tunnel is drawn.
-        coldCredit[s] = (heldTold ? coldPart(s) / 2 : 0) + random.nextDouble();
+        coldCredit[s] = dither[s] = random.nextDouble();
         silence[s] = 0;
         full[s] = false;
         load[s] = good[s] = bad[s] = 0;
@@ -1094,6 +1093,7 @@
             good = Arrays.copyOf(good, m);
             bad = Arrays.copyOf(bad, m);
             coldCredit = Arrays.copyOf(coldCredit, m);
+            dither = Arrays.copyOf(dither, m);
             waitedAt = Arrays.copyOf(waitedAt, m);
         }
         ep[n] = server;
--- a/lab/src/test/java/asterpulley/lab/model/ExperimentsTest.java
+++ b/lab/src/test/java/asterpulley/lab/model/ExperimentsTest.java
@@ -69,7 +69,23 @@
         assertTrue(with("cold-return.toml", "spill.home_s") < 30);
         double storm = with("near-full.toml", "credit.share.storm");
         assertTrue(without("near-full.toml", "credit.share.storm", "guests_kept", Map.of(), "kept", Map.of()) < storm - 0.01);
-        assertTrue(without("comes-and-goes.toml", "servers.worst_factor", "below", 10.0) > 0.8);
-        assertTrue(with("comes-and-goes.toml", "servers.worst_factor") < 0.8);
+    }
+
+    /** One play without the limit ends now above, now under full, as its seed has it: eight seeds tell. */
+    @Test
+    void aLimitOnHowFullServersAreForGuestsIsWhatKeepsThemUnderFull() throws IOException {
+        double highest = 0;
+        for (long seed : new long[] {31, 1, 2, 3, 4, 5, 6, 7}) {
+            Plan plan = plan(ROOMS.resolve("comes-and-goes.toml"));
+            plan.seed = seed;
+            double with = play(plan).figure("servers.worst_factor");
+            plan = plan(ROOMS.resolve("comes-and-goes.toml"));
+            plan.seed = seed;
+            plan.routes.put("below", 10.0);
+            double without = play(plan).figure("servers.worst_factor");
+            assertTrue(with < 0.8 && with < without, "seed " + seed + ": " + with + " with it, " + without + " without");
+            highest = Math.max(highest, without);
+        }
+        assertTrue(highest > 0.8, "at most " + highest);
     }
 }
