--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -48,6 +48,8 @@
     private static final double MOST_SEEKS = 300;
     /** Reports are refreshed and arrive late, by up to this: old placements are likelier in them. */
     private static final double REPORT_LAG = 1;
+    /** Of what a cold server bears, the sum that relays aim at: what whole tunnels add by chance has room. */
+    private static final double COLD_SHARE = 0.75;
     /** A server that dropped all of ours and went from this load to that one has restarted. */
     private static final double EMPTIED = 0.3, EMPTY = 0.1;
     /** A crossing's fee is lost all of a tunnel's life; this much more in the factor loses as much. */
@@ -95,7 +97,7 @@
     private boolean[] out = {}, owed = {}, unheard = {}, dropped = {};
     private double[] load = {}, extra = {}, placed = {}, own = {}, turns = {};
     private double[] startedAt = {}, seekAt = {}, seenAt = {}, restUntil = {}, failedAt = {}, workedAt = {};
-    private double[] good = {}, bad = {}, coldCredit = {}, dither = {}, drainedAt = {}, waitedAt = {};
+    private double[] good = {}, bad = {}, dither = {}, drainedAt = {}, waitedAt = {};
     private final List<List<Tunnel>> held = new ArrayList<>();
     private final List<Tunnel> waiting = new ArrayList<>();
     private final List<ArrayDeque<Placement>> recent = new ArrayList<>();
@@ -379,7 +381,6 @@
         owed[s] = false;
         // By its load: three heavy tunnels among ten may be half of what a cold server bears.
         double work = Math.max(1, units(tun.profile, profileLoad[tun.profile]));
-        coldCredit[s] -= work;
         later(s, step(s, tun), work);
         front.setup(tun, ep[s], timeout);
     }
@@ -475,7 +476,7 @@
                 continue;
             }
             f += crowd(s);
-            if (f > FULL || !coldRoom(s, now)) {
+            if (f > FULL || !coldRoom(s, now, Math.max(1, units))) {
                 continue;
             }
             // Who put it back wants to see it used: it gets one tunnel before others that stand lower.
@@ -642,15 +643,17 @@
     }
 
     /** Not pushed over: this relay keeps to its part of what a cold server can take; siblings do the same. */
-    private boolean coldRoom(int s, double now) {
-        if (!cold(s, now) || !heldTold || seenAt[s] < startedAt[s]) {
-            return !cold(s, now) || coldCredit[s] >= 1;
+    private boolean coldRoom(int s, double now, double work) {
+        if (!cold(s, now)) {
+            return true;
         }
-        // What stands there is told: in any fallTime our part of what is left of half that it bears. It is
-        // rounded by a dither that is drawn anew about once in that time: all relays' parts sum up to it.
+        // New tunnels may fill it over its warm-up, times the multiple; half of what makes it fall may stand.
         double sent = recent.get(s).stream().mapToDouble(p -> p.at > now - set.fallTime ? p.work : 0).sum();
         double untold = Math.max(0, extra[s] * capacity(s)), part = coldPart(s);
-        return Math.max(sent, untold + part * load[s] / set.fallMultiple) + 1 <= part / 2 + dither[s];
+        double room = Math.min(part * Math.min(0.5, COLD_SHARE * set.fallTime / set.coldTime) - sent,
+                part * (0.5 - load[s] / set.fallMultiple) - untold);
+        // Rounded by a dither: of many relays each sends a whole tunnel or none, and the parts still sum up.
+        return work * (1 - dither[s]) <= room;
     }
 
     /** This relay's equal part of the mean loads that may stand on a cold server now before it falls. */
@@ -665,9 +668,8 @@
         good[s] *= KEEP;
         bad[s] *= KEEP;
         turns[s] *= KEEP;
-        if (cold(s, now)) {
-            double grows = coldPart(s) / set.coldTime;
-            coldCredit[s] = Math.min(Math.max(1, grows * set.fallTime), coldCredit[s] + grows * TIMER);
+        if (cold(s, now) && random.nextDouble() * set.coldTime < TIMER) {
+            dither[s] = random.nextDouble();
         }
     }
 
@@ -846,8 +848,6 @@
         silence[s] = 0;
         unheard[s] = false;
         full[s] = false;
-        double drawn = cold(s, now) ? random.nextDouble() * Math.max(1, set.fallTime / (now - seenAt[s])) : 1;
-        dither[s] = drawn < 1 ? drawn : dither[s];
         seenAt[s] = now;
         double seen = !Double.isNaN(report.load) ? report.load : report.busy;
         loadTold |= !Double.isNaN(seen);
@@ -1053,7 +1053,7 @@
 
     private void restarted(int s, double at) {
         startedAt[s] = at;
-        coldCredit[s] = dither[s] = random.nextDouble();
+        dither[s] = random.nextDouble();
         silence[s] = 0;
         full[s] = false;
         load[s] = good[s] = bad[s] = 0;
@@ -1092,7 +1092,6 @@
             drainedAt = Arrays.copyOf(drainedAt, m);
             good = Arrays.copyOf(good, m);
             bad = Arrays.copyOf(bad, m);
-            coldCredit = Arrays.copyOf(coldCredit, m);
             dither = Arrays.copyOf(dither, m);
             waitedAt = Arrays.copyOf(waitedAt, m);
         }
