--- a/core/src/test/java/asterpulley/FleetStage.java
+++ b/core/src/test/java/asterpulley/FleetStage.java
@@ -154,12 +154,15 @@
         public void setup(Balance.Tunnel tun, String ep, double timeout) {
             Client client = of(tun);
             Server s = servers.get(ep);
-            setups++;
             double told = toldStarts.getOrDefault(ep, Double.NEGATIVE_INFINITY);
             s.sent.add(new Sent(now, client.units, told >= s.startedAt));
-            double takes = s.setupTime + setupExtra;
+            // Setups pass one store in the order in which they came, also those that nobody waits for any more.
+            storeFree = Math.max(now, storeFree) + storeTime;
+            longestQueue = Math.max(longestQueue, storeFree - now);
+            double takes = s.setupTime + storeFree - now;
             after(Math.min(takes, timeout), () -> {
                 if (!s.running || takes > timeout) {
+                    timedOut += s.running ? 1 : 0;
                     tun.ended(0, s.running ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION, Math.min(takes, timeout), false);
                     return;
                 }
@@ -232,15 +235,17 @@
     final Map<String, Server> servers = new LinkedHashMap<>();
     final Random random;
     boolean heldTold = true, returns = true;
-    /** Mean seconds that a tunnel stands; 0: to the end. What a setup takes beyond its server's own time. */
-    double life, setupExtra;
+    /** Mean seconds that a tunnel stands; 0: to the end. */
+    double life;
+    /** What a setup takes of the one store behind all servers, and the longest that one had to wait there. */
+    double storeTime, longestQueue;
     /** Reports are refreshed so often. */
     double refresh = 0.4;
-    int setups, opened, declined;
+    int opened, declined, timedOut;
     private final List<Relay> relays = new ArrayList<>();
     private final PriorityQueue<Due> due = new PriorityQueue<>(
             (a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
-    private double now;
+    private double now, storeFree;
     private long order, ids;
 
     FleetStage(long seed) {
