Settings in force: told by a service, by versions, while the relay runs

Change: asterpulley.settings.InForce, without I/O: a whole document or merge patches (RFC 7396) from version to version, tried on a copy, checked whole (Schema: keys, types, ranges; SettingsDecoder; pools), then in force, refused with its place, same, stale or a gap. Versions are (epoch, seq) and only go forward; profiles and customers keep their places for good. SettingsWatch carries it on LongPoll: GET /registry/settings?index=V&wait=MS&epoch=E, back-off with jitter, paced where nothing comes, kept in $TMPDIR, told at GET /admin/settings, in figures and in the log. Serve switches TakeIn, Admit, Book, Probes, Dialer, Route and pools in one task of the loop. Only an operator's file names a service ([settings] service); `run` drops the key. LongPoll.with adds to a query; Kept writes UTF-8 (its other files are ASCII).

--- a/cli/src/main/java/asterpulley/cli/RelayFile.java
+++ b/cli/src/main/java/asterpulley/cli/RelayFile.java
@@ -43,6 +43,10 @@
         if (root.has("operator")) {
             config.put("operator", address(root, "operator", "127.0.0.1:1"));
         }
+        Part settingsPart = root.part("settings");
+        if (settingsPart.has("service")) {
+            config.put("settings_service", address(settingsPart, "service", "127.0.0.1:1"));
+        }
         Part list = root.part("list");
         if (list.has("discovery")) {
             config.put("discovery", address(list, "discovery", "127.0.0.1:1"));
--- a/cli/src/test/java/asterpulley/cli/CommandTest.java
+++ b/cli/src/test/java/asterpulley/cli/CommandTest.java
@@ -91,6 +91,16 @@
         assertEquals(1, run("check", folder.resolve("none.toml").toString()));
     }
 
+    @Test
+    void aSettingsServiceIsToldOnlyByAnOperatorsFileAndCheckedThere() throws IOException {
+        String relay = "listen = \"127.0.0.1:0\"\n[[profile]]\nname = \"live\"\n[[server]]\nname = \"a\"\ndial = \"127.0.0.1:1\"\n";
+        assertEquals("127.0.0.1:7700", RelayFile.read(Sheet.of("r", relay + "[settings]\nservice = \"127.0.0.1:7700\"\n"))
+                .get("settings_service"));
+        assertTrue(!RelayFile.read(Sheet.of("r", relay)).containsKey("settings_service"));
+        assertEquals(1, run("check", file("r.toml", relay + "[settings]\nservice = \"there\"\nservcie = 1\n")));
+        assertTrue(out.contains(":8: settings.service: 'there' is not an address") && out.contains(":9: settings.servcie: is no key"), out);
+    }
+
     @Test
     void anExperimentThatFallsShortIsThree() throws IOException {
         String text = "on = \"model\"\nlength_s = 3\nexpect = [\"credit.share %s 0.5\"]\n[load]\narrivals_per_s = 5\n";
--- a/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
+++ b/decode/src/main/java/asterpulley/decode/SettingsDecoder.java
@@ -8,6 +8,9 @@
 
 /** The settings that every relay is told, under the platform's names, read once into what the module reads. */
 public final class SettingsDecoder {
+    /** Marks a profile or customer that keeps its place for what stands of it, and that nothing new may name. */
+    public static final String RETIRED = "retired";
+
     private SettingsDecoder() {
     }
 
@@ -78,6 +81,16 @@
         return places;
     }
 
+    /** Of these the names that something new may use. */
+    public static Map<String, Integer> current(Map<String, Object> settings, String list) {
+        Map<String, Integer> places = places(settings, list);
+        if (settings.get(list) instanceof List<?> names) {
+            names.stream().filter(o -> o instanceof Map<?, ?> one && Boolean.TRUE.equals(one.get(RETIRED)))
+                    .forEach(o -> places.remove(((Map<?, ?>) o).get("name")));
+        }
+        return places;
+    }
+
     private static Settings.Profile profile(Map<String, Object> in) {
         Settings.Profile p = new Settings.Profile();
         p.name = String.valueOf(in.getOrDefault("name", ""));
--- /dev/null
+++ b/decode/src/test/java/asterpulley/decode/MergePatchTest.java
@@ -0,0 +1,36 @@
+package asterpulley.decode;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+class MergePatchTest {
+    private static Object json(String text) throws IOException {
+        try (JsonParser parser = new JsonFactory().createParser(text)) {
+            parser.nextToken();
+            return Json.value(parser);
+        }
+    }
+
+    /** The test cases of RFC 7396, appendix A: what was, the patch, what is. */
+    @Test
+    void patchesAsTheStandardsOwnCasesDo() throws IOException {
+        String[][] cases = {
+            {"{\"a\":\"b\"}", "{\"a\":\"c\"}", "{\"a\":\"c\"}"}, {"{\"a\":\"b\"}", "{\"b\":\"c\"}", "{\"a\":\"b\",\"b\":\"c\"}"},
+            {"{\"a\":\"b\"}", "{\"a\":null}", "{}"}, {"{\"a\":\"b\",\"b\":\"c\"}", "{\"a\":null}", "{\"b\":\"c\"}"},
+            {"{\"a\":[\"b\"]}", "{\"a\":\"c\"}", "{\"a\":\"c\"}"}, {"{\"a\":\"c\"}", "{\"a\":[\"b\"]}", "{\"a\":[\"b\"]}"},
+            {"{\"a\":{\"b\":\"c\"}}", "{\"a\":{\"b\":\"d\",\"c\":null}}", "{\"a\":{\"b\":\"d\"}}"},
+            {"{\"a\":[{\"b\":\"c\"}]}", "{\"a\":[1]}", "{\"a\":[1]}"}, {"[\"a\",\"b\"]", "[\"c\",\"d\"]", "[\"c\",\"d\"]"},
+            {"{\"a\":\"b\"}", "[\"c\"]", "[\"c\"]"}, {"{\"a\":\"foo\"}", "null", "null"}, {"{\"a\":\"foo\"}", "\"bar\"", "\"bar\""},
+            {"{\"e\":null}", "{\"a\":1}", "{\"e\":null,\"a\":1}"}, {"[1,2]", "{\"a\":\"b\",\"c\":null}", "{\"a\":\"b\"}"},
+            {"{}", "{\"a\":{\"bb\":{\"ccc\":null}}}", "{\"a\":{\"bb\":{}}}"}};
+        for (String[] one : cases) {
+            Object was = json(one[0]);
+            assertEquals(json(one[2]), MergePatch.apply(was, json(one[1])), String.join(" ", one));
+            assertEquals(json(one[0]), was, "what it was given is as it was");
+        }
+    }
+}
--- a/relay/src/main/java/asterpulley/door/Desk.java
+++ b/relay/src/main/java/asterpulley/door/Desk.java
@@ -19,6 +19,8 @@
 
     Answer stats();
 
+    Answer settings();
+
     Answer cordon(String server);
 
     Answer uncordon(String server);
--- a/relay/src/main/java/asterpulley/door/Door.java
+++ b/relay/src/main/java/asterpulley/door/Door.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -47,6 +48,8 @@
     private static final double SWEEP = 0.1;
     private static final int LONGEST_HEAD = 8192, LONGEST_BODY = 4096;
     private static final String PLAIN = "text/plain;charset=utf-8";
+    private static final String JSON = "application/json";
+    private static final Set<String> GETS = Set.of("/admin/health", "/admin/stats", "/admin/settings");
     private static final String FIGURES = "text/plain;version=0.0.4;charset=utf-8";
 
     /** One that is connected; its call is answered once. */
@@ -173,11 +176,12 @@
                 path = one;
             }
         }
-        String wants = path.equals("/admin/health") || path.equals("/admin/stats") ? "GET" : "POST";
+        String wants = GETS.contains(path) ? "GET" : "POST";
         String id = named;
         Supplier<Desk.Answer> asked = switch (path) {
             case "/admin/health" -> desk::health;
             case "/admin/stats" -> desk::stats;
+            case "/admin/settings" -> desk::settings;
             case "/admin/cordon/" -> () -> desk.cordon(id);
             case "/admin/uncordon/" -> () -> desk.uncordon(id);
             case "/admin/quiesce" -> desk::quiesce;
@@ -200,7 +204,8 @@
             case NOT_NOW -> 503;
             case FAILED -> 500;
         };
-        call.getResponse().setContentType(path.equals("/admin/stats") ? FIGURES : PLAIN);
+        call.getResponse().setContentType(!answer.yes() ? PLAIN : path.equals("/admin/stats") ? FIGURES
+                : path.equals("/admin/settings") ? JSON : PLAIN);
         answer(ctx, call, caller, status, answer.text());
     }
 
--- a/relay/src/main/java/asterpulley/door/Figures.java
+++ b/relay/src/main/java/asterpulley/door/Figures.java
@@ -2,6 +2,7 @@
 
 import asterpulley.net.Book;
 import asterpulley.net.Route;
+import asterpulley.settings.InForce;
 
 /**
  * Owns the figures' names, in the text format of Prometheus. Every figure is read where it stands, from what is or from
@@ -11,7 +12,8 @@
     private Figures() {
     }
 
-    public static String text(Book book, Route route) {
+    /** {@code settings}: null where no service tells any; then they have no figures. */
+    public static String text(Book book, Route route, InForce settings) {
         StringBuilder text = new StringBuilder(1024);
         head(text, "downstream_requests_total", "counter", "Tunnels answered, by profile: opened, declined, closed with error.");
         for (int p = 0; p < book.profiles().size(); p++) {
@@ -28,6 +30,18 @@
         figure(text, "config_reloads_total", "counter", "Configurations taken on while running.", book.counted("configurations"));
         figure(text, "config_reload_errors_total", "counter", "Configurations that could not be read.",
                 book.counted("configurations_unreadable"));
+        if (settings != null) {
+            InForce.Version version = settings.version();
+            figure(text, "settings_epoch", "gauge", "The history of the settings in force, -1: the relay's own file's.",
+                    Math.max(-1, version.epoch()));
+            figure(text, "settings_version", "gauge", "The version of the settings in force within it.", version.seq());
+            figure(text, "settings_since_seconds", "gauge", "Unix time at which it came in force.", Math.round(settings.since()));
+            figure(text, "settings_changes_total", "counter", "Times that other settings came in force.",
+                    book.counted("settings_changes"));
+            figure(text, "settings_refused_total", "counter", "Versions that could not be in force.", settings.refusals());
+            figure(text, "settings_failures_total", "counter", "Calls to the settings service that failed.",
+                    book.counted("settings_failures"));
+        }
         return text.toString();
     }
 
--- a/relay/src/main/java/asterpulley/line/Probes.java
+++ b/relay/src/main/java/asterpulley/line/Probes.java
@@ -45,7 +45,7 @@
     private final Book book;
     private final Dialer dialer;
     private final Route route;
-    private final double patience;
+    private double patience;
     private final Map<String, Line> lines = new HashMap<>();
     private final Map<Leg, Line> byLeg = new HashMap<>();
     private FilterChain chain;
@@ -55,8 +55,12 @@
         this.book = book;
         this.dialer = dialer;
         this.route = route;
-        // An answer that comes later than any tunnel's goal says that a tunnel would be too late there as well.
-        this.patience = settings.profiles.stream().mapToDouble(p -> p.setupGoal).min().orElse(0.5);
+        settings(settings);
+    }
+
+    /** Counts from the next question on: an answer later than any tunnel's goal says that a tunnel would be too late as well. */
+    public void settings(Settings settings) {
+        patience = settings.profiles.stream().mapToDouble(p -> p.setupGoal).min().orElse(0.5);
     }
 
     public void through(FilterChain probes) {
--- a/relay/src/main/java/asterpulley/line/TakeIn.java
+++ b/relay/src/main/java/asterpulley/line/TakeIn.java
@@ -19,7 +19,7 @@
  */
 public final class TakeIn extends BaseFilter {
     private final Loop loop;
-    private final Words words;
+    private Words words;
     private final Talk talk;
     private final Book book;
     private final Lobby lobby;
@@ -35,6 +35,11 @@
         this.wanted = wanted;
     }
 
+    /** The names that lines may use from now on; a line in part is read by those of when it is whole. */
+    public void words(Words anew) {
+        words = anew;
+    }
+
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
         book.count("accepted");
--- a/relay/src/main/java/asterpulley/line/Words.java
+++ b/relay/src/main/java/asterpulley/line/Words.java
@@ -60,7 +60,7 @@
     /** Names as the bytes of a line have them. */
     private static Map<String, Integer> places(Map<String, Object> settings, String list) {
         Map<String, Integer> places = new HashMap<>();
-        SettingsDecoder.places(settings, list).forEach(
+        SettingsDecoder.current(settings, list).forEach(
                 (name, place) -> places.put(new String(name.getBytes(StandardCharsets.UTF_8), BYTES), place));
         return places;
     }
--- a/relay/src/main/java/asterpulley/net/Admit.java
+++ b/relay/src/main/java/asterpulley/net/Admit.java
@@ -12,7 +12,7 @@
  * the module's.
  */
 public final class Admit extends BaseFilter {
-    private final Settings settings;
+    private Settings settings;
     private final Talk talk;
     private final Book book;
     private final Lobby lobby;
@@ -29,6 +29,11 @@
         this.random = random;
     }
 
+    /** These count from now on. */
+    public void settings(Settings anew) {
+        settings = anew;
+    }
+
     /**
      * The sockets that tunnels, probes and newcomers may take together. The bound may change while tunnels stand:
      * what is above a lower one leaves by itself, and nothing new comes meanwhile.
--- a/relay/src/main/java/asterpulley/net/Book.java
+++ b/relay/src/main/java/asterpulley/net/Book.java
@@ -37,7 +37,7 @@
 
     /** Answers by profile: the one count of them, whoever shows it. */
     private final Map<Answer, long[]> answers = new EnumMap<>(Answer.class);
-    private final List<String> profiles;
+    private List<String> profiles = List.of();
     private long lastId;
     private Consumer<Passage> left = passage -> { };
     public double lastAcceptedAt;
@@ -48,11 +48,15 @@
     /** So many of them, and every sender is held back at once: slow readers must not fill the memory. */
     public int mostWaiting = Integer.MAX_VALUE;
 
-    /** {@code profiles}: their names, by their place in the settings. */
     public Book(List<String> profiles) {
-        this.profiles = profiles;
+        profiles(profiles);
+    }
+
+    /** Their names from now on, by their place in the settings: new ones come behind, and what was counted stays. */
+    public void profiles(List<String> names) {
+        profiles = names;
         for (Answer answer : Answer.values()) {
-            answers.put(answer, new long[profiles.size()]);
+            answers.put(answer, Arrays.copyOf(answers.getOrDefault(answer, new long[0]), names.size()));
         }
     }
 
--- a/relay/src/main/java/asterpulley/net/Dialer.java
+++ b/relay/src/main/java/asterpulley/net/Dialer.java
@@ -20,7 +20,7 @@
     private final Loop loop;
     private final Book book;
     private final Lobby lobby;
-    private final double connectTimeout;
+    private double connectTimeout;
     private final UnaryOperator<String> addresses;
 
     /** {@code addresses}: where a server is reached now, null when that was never told. */
@@ -34,6 +34,11 @@
         this.addresses = addresses;
     }
 
+    /** How long a connection may take to come up, from the next dial on. */
+    public void connectTimeout(double seconds) {
+        connectTimeout = seconds;
+    }
+
     /** Where this backend is reached now; null when that was never told. */
     public String address(String host) {
         return addresses.apply(host);
--- a/relay/src/main/java/asterpulley/net/LongPoll.java
+++ b/relay/src/main/java/asterpulley/net/LongPoll.java
@@ -51,6 +51,7 @@
     private Connection<?> connection;
     private boolean waiting;
     private int call;
+    private String with = "";
 
     public LongPoll(String path, InetSocketAddress address, Caller caller, Loop loop, Book book, TCPNIOTransport transport) {
         this.path = path;
@@ -72,6 +73,11 @@
         address = to;
     }
 
+    /** Goes behind the version in the query of each call from now on, as {@code &name=value}. */
+    public void with(String more) {
+        with = more;
+    }
+
     /**
      * Asks for what is newer than a version, and lets the call wait so long for it; with {@link #NONE} for the whole, at
      * once. It fails as silent when there is no whole answer {@code patience} seconds from now.
@@ -80,7 +86,7 @@
         int n = ++call;
         waiting = true;
         loop.after(patience, () -> failed(n, "no answer", true));
-        String query = version == NONE ? null : "index=" + version + "&wait=" + Math.round(wait * 1000);
+        String query = version == NONE ? null : "index=" + version + "&wait=" + Math.round(wait * 1000) + with;
         if (connection != null && connection.isOpen()) {
             ask(query);
             return;
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -6,6 +6,7 @@
 import asterpulley.Outcome;
 import asterpulley.Report;
 import asterpulley.Settings;
+import asterpulley.routes.Charter;
 import asterpulley.routes.Guide;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -78,6 +79,14 @@
         }
     }
 
+    /** These count from now on, for the module and, where there are pools, for their rules: none may be half changed. */
+    public void settings(Settings anew, Charter charter) {
+        if (guide != null) {
+            guide.change(charter, loop.now());
+        }
+        tell(() -> balance.settings(anew));
+    }
+
     private void tell(Runnable call) {
         calls.add(call);
         if (deciding) {
--- a/relay/src/main/java/asterpulley/serve/Config.java
+++ b/relay/src/main/java/asterpulley/serve/Config.java
@@ -24,15 +24,19 @@
  * already runs on an earlier reading.
  */
 final class Config {
+    /** What an operator's file says of that; the platform's may not. */
+    static final String SETTINGS_SERVICE = "settings_service";
+
     final String name;
     final InetSocketAddress listen;
     final InetSocketAddress discovery;
     /** Where operators call; null where they do not. */
     final InetSocketAddress operator;
+    /** Where settings are told while it runs; null: nowhere, as on the platform, and those of the file count. */
+    final InetSocketAddress settingsService;
     final long seed;
     final int sockets;
     final double memory;
-    final double connectTimeout;
     final Settings settings;
     final Words words;
     final Fleet.Names names;
@@ -47,10 +51,11 @@
         listen = address(Json.text(in, "listen"));
         discovery = in.get("discovery") == null ? null : address(Json.text(in, "discovery"));
         operator = in.get("operator") == null ? null : address(Json.text(in, "operator"));
+        settingsService = in.get(SETTINGS_SERVICE) == null ? null : address(Json.text(in, SETTINGS_SERVICE));
         seed = seed(Json.text(in, "seed"));
         sockets = (int) Json.number(Json.part(in, "limits"), "sockets", 1024);
         memory = Json.number(Json.part(in, "limits"), "memory_mb", 192) * (1 << 20);
-        connectTimeout = Json.number(Json.part(told, "limits"), "dialTimeoutMs", 1000) / 1000;
+        connectTimeout(told);
         settings = SettingsDecoder.settings(told);
         words = new Words(told);
         names = new Fleet.Names(told);
@@ -58,7 +63,7 @@
         routes = in.get("routes") == null ? null : Json.object(in.get("routes"), "routes");
         if (routes != null) {
             // What is wrong with it is to be said now, not when it is used.
-            charter();
+            charter(told);
         }
         if (settings.profiles.isEmpty()) {
             throw new Json.Malformed("settings name no profiles");
@@ -87,14 +92,24 @@
         return routes != null;
     }
 
-    Charter charter() {
-        return CharterDecoder.charter(routes, settings.zone, told);
+    /** With the names and credits of these settings, which are those in force. */
+    Charter charter(Map<String, Object> inForce) {
+        return routes == null ? null : CharterDecoder.charter(routes, settings.zone, inForce);
+    }
+
+    static double connectTimeout(Map<String, Object> settings) {
+        return Json.number(Json.part(settings, "limits"), "dialTimeoutMs", 1000) / 1000;
+    }
+
+    /** The settings of this reading, by the platform's names. */
+    Map<String, Object> told() {
+        return told;
     }
 
     /** True where that reading asks for what only a new start can give: the module and the names are set up once. */
     boolean needsStart(Config anew) {
         return !told.equals(anew.told) || !name.equals(anew.name) || !listen.equals(anew.listen)
-                || !Objects.equals(operator, anew.operator);
+                || !Objects.equals(operator, anew.operator) || (settingsService == null) != (anew.settingsService == null);
     }
 
     private static long seed(String hex) {
--- a/relay/src/main/java/asterpulley/serve/Kept.java
+++ b/relay/src/main/java/asterpulley/serve/Kept.java
@@ -1,5 +1,6 @@
 package asterpulley.serve;
 
+import asterpulley.decode.Json;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -9,6 +10,7 @@
 import java.nio.file.attribute.BasicFileAttributes;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -16,14 +18,14 @@
 
 /**
  * Owns the files by which processes of one relay know of each other: who is left out by operators, which process
- * serves, and what it has learned. They are small, and in memory where the platform keeps them. Each is written whole (a new file, then a
+ * serves, what it has learned, and the settings in force where a service tells them. They are small, and in memory where the platform keeps them. Each is written whole (a new file, then a
  * rename) or not at all; one that cannot be read is told by its name and must never keep a relay from starting.
  */
 final class Kept {
     private static final Logger LOG = Logger.getLogger(Kept.class.getName());
     private static final String HEAD = "left out by operators, one a line", END = "end ";
 
-    private final Path cordons, serving, learned;
+    private final Path cordons, serving, learned, settings;
     private Object seen = "never read";
 
     /** {@code relay}: its name, since several may share a folder. */
@@ -32,6 +34,7 @@
         cordons = folder.resolve("asterpulley-" + name + ".cordons");
         serving = folder.resolve("asterpulley-" + name + ".serving");
         learned = folder.resolve("asterpulley-" + name + ".learned");
+        settings = folder.resolve("asterpulley-" + name + ".settings");
     }
 
     /**
@@ -103,6 +106,21 @@
         }
     }
 
+    /** The settings that a process before had in force; null where none are kept. */
+    Map<String, Object> settings() throws IOException {
+        try {
+            return Config.json(settings);
+        } catch (NoSuchFileException e) {
+            return null;
+        } catch (Json.Malformed e) {
+            throw new IOException(settings + ", " + e.getMessage());
+        }
+    }
+
+    void settings(Map<String, Object> all) throws IOException {
+        write(settings, Json.text(all) + "\n");
+    }
+
     /** This process serves from now on. */
     void serve() {
         try {
@@ -125,7 +143,7 @@
     private static void write(Path file, String text) throws IOException {
         Path whole = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
         try {
-            Files.writeString(whole, text, StandardCharsets.ISO_8859_1);
+            Files.writeString(whole, text, StandardCharsets.UTF_8);
             Files.move(whole, file, StandardCopyOption.ATOMIC_MOVE);
         } catch (IOException e) {
             Files.deleteIfExists(whole);
--- a/relay/src/main/java/asterpulley/serve/Operators.java
+++ b/relay/src/main/java/asterpulley/serve/Operators.java
@@ -27,14 +27,17 @@
     private final Loop loop;
     /** Null where nothing outlives this process. */
     private final Kept kept;
+    /** Null where no service tells settings. */
+    private final SettingsWatch settings;
     private boolean open;
 
-    Operators(Farewell farewell, Book book, Route route, Loop loop, Kept kept) {
+    Operators(Farewell farewell, Book book, Route route, Loop loop, Kept kept, SettingsWatch settings) {
         this.farewell = farewell;
         this.book = book;
         this.route = route;
         this.loop = loop;
         this.kept = kept;
+        this.settings = settings;
     }
 
     /** Takes on who was left out before this process came, and whom another process of this relay leaves out. */
@@ -92,7 +95,13 @@
 
     @Override
     public Answer stats() {
-        return Answer.yes(Figures.text(book, route));
+        return Answer.yes(Figures.text(book, route, settings == null ? null : settings.inForce()));
+    }
+
+    @Override
+    public Answer settings() {
+        return settings == null ? new Answer(Kind.UNKNOWN, "no service tells settings here: those of the file count, from a start")
+                : Answer.yes(settings.state());
     }
 
     @Override
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -2,6 +2,7 @@
 
 import static asterpulley.net.Addresses.text;
 
+import asterpulley.Settings;
 import asterpulley.decode.Json;
 import asterpulley.door.Door;
 import asterpulley.line.LineTalk;
@@ -9,6 +10,7 @@
 import asterpulley.line.Relay;
 import asterpulley.line.Send;
 import asterpulley.line.TakeIn;
+import asterpulley.line.Words;
 import asterpulley.list.Discovery;
 import asterpulley.net.Admit;
 import asterpulley.net.Book;
@@ -18,7 +20,9 @@
 import asterpulley.net.Loop;
 import asterpulley.net.Route;
 import asterpulley.net.SocketFilter;
+import asterpulley.routes.Charter;
 import asterpulley.routes.Guide;
+import asterpulley.settings.InForce;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -73,14 +77,32 @@
     private final Operators operators;
     private final Door door;
     private final Kept kept;
-    private final CountDownLatch current = new CountDownLatch(1);
+    private final CountDownLatch current = new CountDownLatch(1), settingsHeard = new CountDownLatch(1);
+    private final Dialer dialer;
+    private final Probes probes;
+    private final TakeIn takeIn;
+    /** What a service tells, and the watch on it; null where none is told: then those of the file count, from a start. */
+    private final InForce told;
+    private final SettingsWatch watch;
+    private Settings settings;
+    /** Of all that is taken and not answered, also by settings that were in force until now. */
+    private double longestTimeout;
     /** Guarded by {@link #gone}, like the listener until it is open. */
     private boolean shut;
 
     /** Decides from now on; nobody is accepted before {@link #open}. {@code folder}: what outlives it; null: nothing. */
     Serve(Config config, Path folder) throws IOException {
         this.config = config;
-        book = new Book(config.settings.profiles.stream().map(p -> p.name).toList());
+        kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
+        told = config.settingsService == null ? null
+                : new InForce(config.told(), all -> this.config.charter(all), loop.now());
+        if (told != null) {
+            SettingsWatch.restore(told, kept);
+        }
+        settings = told == null ? config.settings : told.settings();
+        Map<String, Object> names = told == null ? config.told() : told.effective();
+        longestTimeout = longestTimeout();
+        book = new Book(settings.profiles.stream().map(p -> p.name).toList());
         transport = TCPNIOTransportBuilder.newInstance().setName("relay")
                 .setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
                 .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("relay").setCorePoolSize(1)
@@ -93,32 +115,37 @@
         route = new Route(loop, book);
         discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
         farewell = new Farewell(loop, book, route, lobby, this::shut);
-        kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
-        operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept);
+        watch = told == null ? null : new SettingsWatch(config.settingsService, told, this::settingsChanged, loop, book,
+                new Random(config.seed + 1), transport, kept);
+        operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept, watch);
         door = operators == null ? null : new Door(operators, loop, book);
-        Dialer dialer = new Dialer(config.connectTimeout, transport, loop, book, lobby, discovery::dial);
+        dialer = new Dialer(Config.connectTimeout(names), transport, loop, book, lobby, discovery::dial);
         Send send = new Send(loop, book, dialer, route);
         Relay relay = new Relay(loop, book, route, send);
         talk.through(send, relay);
-        Probes probes = new Probes(config.settings, loop, book, dialer, route);
+        probes = new Probes(settings, loop, book, dialer, route);
         SocketFilter sockets = new SocketFilter(transport, loop, book, lobby);
-        admit = new Admit(config.settings, talk, book, lobby, new Random(config.seed));
+        admit = new Admit(settings, talk, book, lobby, new Random(config.seed));
+        takeIn = new TakeIn(loop, new Words(names), talk, book, lobby, () -> !farewell.quiet());
         limits();
         send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
         probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
         transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
-                .add(new TakeIn(loop, config.words, talk, book, lobby, () -> !farewell.quiet())).add(admit).add(route).add(relay).build());
+                .add(takeIn).add(admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
         loop.handIn(() -> {
             if (config.tellsOfPools()) {
-                route.narrowedBy(new Guide(config.charter(), loop.now(), book::log, book::count));
+                route.narrowedBy(new Guide(config.charter(names), loop.now(), book::log, book::count));
             }
             if (catchesUp()) {
                 discovery.whenCurrent(current::countDown);
             }
-            route.start(config.settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
+            if (watch != null) {
+                watch.start(settingsHeard::countDown);
+            }
+            route.start(settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
             if (operators != null) {
                 operators.start();
             }
@@ -150,12 +177,19 @@
                     + (kept == null ? "; TMPDIR is not set, so cordons end with this process and an upgrade is not seen" : ""));
         }
         try {
-            if (catchesUp() && !current.await((long) (CATCH_UP * 1000), TimeUnit.MILLISECONDS)) {
+            long until = System.nanoTime() + (long) (CATCH_UP * 1e9);
+            if (watch != null) {
+                settingsHeard.await(until - System.nanoTime(), TimeUnit.NANOSECONDS);
+            }
+            if (catchesUp() && !current.await(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
                 LOG.info("no news of the list in " + CATCH_UP + " s, serving by the one at hand");
             }
         } catch (InterruptedException e) {
             throw new IOException("interrupted at the start");
         }
+        if (watch != null && settingsHeard.getCount() > 0) {
+            LOG.info("no news of the settings in " + CATCH_UP + " s, serving by " + told.version());
+        }
         synchronized (gone) {
             if (shut) {
                 return;
@@ -186,6 +220,26 @@
         }
     }
 
+    /** Others are in force: what reads them has them all when this returns, between two events. */
+    private void settingsChanged() {
+        Map<String, Object> all = told.effective();
+        Words words = new Words(all);
+        Charter charter = config.charter(all);
+        settings = told.settings();
+        book.profiles(settings.profiles.stream().map(p -> p.name).toList());
+        takeIn.words(words);
+        admit.settings(settings);
+        probes.settings(settings);
+        dialer.connectTimeout(Config.connectTimeout(all));
+        route.settings(settings, charter);
+        loop.after(longestTimeout, () -> longestTimeout = longestTimeout());
+        longestTimeout = Math.max(longestTimeout, longestTimeout());
+    }
+
+    private double longestTimeout() {
+        return settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0);
+    }
+
     private void limits() {
         // At an upgrade two processes share the memory.
         book.mostWaiting = (int) (config.memory / (operators == null ? 1 : 2) * FOR_SLOW_READERS / SocketFilter.BUFFER);
@@ -217,12 +271,15 @@
                 + ", sockets " + anew.sockets + ", held " + book.held()
                 + (config.needsStart(anew) ? "; changes of name, listen and settings wait for a restart" : ""));
         book.count("configurations");
-        if (anew.tellsOfPools() != (route.guide() != null)
-                || anew.tellsOfPools() && !route.guide().change(anew.charter(), loop.now())) {
+        if (anew.tellsOfPools() != (route.guide() != null) || anew.tellsOfPools() && !route.guide().change(
+                anew.charter(told == null ? anew.told() : told.effective()), loop.now())) {
             LOG.warning("pools wait for a restart: whether they are told, their names and this relay's own count from a start");
         }
         config = anew;
         limits();
+        if (watch != null && anew.settingsService != null) {
+            watch.moveTo(anew.settingsService);
+        }
         if (anew.discovery == null) {
             discovery.tell(anew.known);
         } else {
@@ -248,7 +305,12 @@
             stderr.println("asterpulley serve: LB_CONFIG names no configuration");
             return 1;
         }
-        return run(file, () -> Config.json(Path.of(file)), stderr);
+        return run(file, () -> {
+            Map<String, Object> told = Config.json(Path.of(file));
+            // The platform has no such service: only an operator's own file may name one.
+            told.remove(Config.SETTINGS_SERVICE);
+            return told;
+        }, stderr);
     }
 
     /** Serves by a configuration of any form, until told to end; returns the exit status. */
@@ -313,8 +375,7 @@
             if (succeeded) {
                 shut();
             }
-            farewell.leave(config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0), succeeded,
-                    gone::countDown);
+            farewell.leave(longestTimeout, succeeded, gone::countDown);
         });
     }
 
--- /dev/null
+++ b/relay/src/main/java/asterpulley/settings/InForce.java
@@ -0,0 +1,302 @@
+package asterpulley.settings;
+
+import asterpulley.Settings;
+import asterpulley.decode.Json;
+import asterpulley.decode.MergePatch;
+import asterpulley.decode.SettingsDecoder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Owns which version of the settings is in force here, without I/O and in the time that it is told. What a service tells
+ * is a document that is laid over the relay's own settings: whole, or by changes from version to version (JSON merge
+ * patch). Each is tried on a copy and checked whole. It must never have half of a version in force, never go back to an
+ * older one, never lose the last good one to a bad one, and never give a profile or customer another place while the
+ * process lives.
+ */
+public final class InForce {
+    /** The history of a service, which only another, higher number replaces, and the version within it. */
+    public record Version(long epoch, long seq) implements Comparable<Version> {
+        /** Before any that a service can tell. */
+        public static final Version NONE = new Version(Long.MIN_VALUE, -1);
+
+        @Override
+        public int compareTo(Version other) {
+            return epoch != other.epoch ? Long.compare(epoch, other.epoch) : Long.compare(seq, other.seq);
+        }
+
+        @Override
+        public String toString() {
+            return equals(NONE) ? "none" : epoch + "/" + seq;
+        }
+    }
+
+    /** What became of an answer. GAP: what lies between is missing. */
+    public enum Kind { IN_FORCE, REFUSED, SAME, STALE, GAP }
+
+    /** {@code changed}: another version is in force; that may be so also where a later one was refused or is missing. */
+    public record Verdict(Kind kind, boolean changed) {
+    }
+
+    /** A version that can't be in force: the path of the fault, and what it is. */
+    public record Refusal(Version version, String where, double at) {
+    }
+
+    private record Told(Version version, Object settings) {
+    }
+
+    private final Map<String, Object> own;
+    private final Consumer<Map<String, Object>> readers;
+    /** What was told last, good or bad: changes go from there. */
+    private Told told = new Told(Version.NONE, null);
+    private boolean wholeWanted = true;
+    /** The last good one. */
+    private Told good = told;
+    /** No answer below it counts: what is in force, until another service is asked. */
+    private Version floor = Version.NONE;
+    private double since;
+    private Refusal refused;
+    private long refusals;
+    /** By their place, those that were taken away as well. */
+    private Set<String> profiles = new LinkedHashSet<>(), customers = new LinkedHashSet<>();
+    private Map<String, Object> effective;
+    private Settings settings;
+
+    /**
+     * {@code own}: the settings of the relay's own file, in force until a service tells. {@code readers}: who else reads
+     * settings, on a copy, and throws {@link Json.Malformed} where it can't.
+     */
+    public InForce(Map<String, Object> own, Consumer<Map<String, Object>> readers, double now) {
+        this.own = own;
+        this.readers = readers;
+        since = now;
+        adopt(effective(Map.of(), profiles, customers));
+    }
+
+    /** An answer of the service; {@link Json.Malformed} where it has not the form of one: then nothing is changed. */
+    public Verdict told(Map<String, Object> answer, double now) {
+        Version at = new Version(answer.get("epoch") == null ? 0 : Json.whole(answer, "epoch"), Json.whole(answer, "seq"));
+        if (at.seq < 0 || at.epoch < 0) {
+            throw new Json.Malformed("seq or epoch is below 0");
+        }
+        boolean whole = Json.flag(answer, "whole");
+        if (whole && !answer.containsKey("settings")) {
+            throw new Json.Malformed("field settings is missing");
+        }
+        Map<Long, Change> changes = whole ? Map.of() : changes(answer);
+        // What was refused bounds nothing: a version that was never anybody's must not shut out those that are.
+        if (at.compareTo(floor) < 0) {
+            return new Verdict(Kind.STALE, false);
+        }
+        if (whole) {
+            wholeWanted = false;
+            if (at.equals(told.version) || at.equals(floor)) {
+                told = at.equals(floor) ? good : told;
+                return new Verdict(Kind.SAME, false);
+            }
+            return tried(List.of(new Told(at, MergePatch.apply(null, answer.get("settings")))), now);
+        }
+        wholeWanted |= at.epoch != told.version.epoch || at.seq < told.version.seq;
+        List<Told> steps = new ArrayList<>();
+        long last = told.version.seq;
+        Object document = told.settings;
+        for (Change next = changes.get(last); next != null && !wholeWanted; next = changes.get(last)) {
+            last = next.to;
+            document = MergePatch.apply(document, next.patch);
+            steps.add(new Told(new Version(at.epoch, last), document));
+        }
+        wholeWanted |= last < changes.values().stream().mapToLong(Change::to).reduce(at.seq, Math::max);
+        return steps.isEmpty() ? new Verdict(wholeWanted ? Kind.GAP : Kind.SAME, false) : tried(steps, now);
+    }
+
+    /** From one version to another. */
+    private record Change(long from, long to, Object patch) {
+    }
+
+    /** By the version from which each goes; of two the shorter step, so that the last good version is met everywhere. */
+    private static Map<Long, Change> changes(Map<String, Object> answer) {
+        Map<Long, Change> changes = new HashMap<>();
+        for (Object o : Json.list(answer, "changes")) {
+            Map<String, Object> change = Json.object(o, "a change");
+            long to = Json.whole(change, "seq");
+            long from = change.get("from") == null ? to - 1 : Json.whole(change, "from");
+            if (from < 0 || from >= to || !change.containsKey("patch")) {
+                throw new Json.Malformed("a change has no patch, or not one from an earlier version to a later");
+            }
+            changes.merge(from, new Change(from, to, change.get("patch")), (x, y) -> x.to <= y.to ? x : y);
+        }
+        return changes;
+    }
+
+    /** Versions in their order: the last good one of them is in force from now on, later ones are refused. */
+    private Verdict tried(List<Told> steps, double now) {
+        told = steps.get(steps.size() - 1);
+        Kind kind = wholeWanted ? Kind.GAP : Kind.IN_FORCE;
+        for (int i = steps.size() - 1; i >= 0; i--) {
+            String wrong = taken(steps.get(i));
+            if (wrong == null) {
+                since = now;
+                return new Verdict(kind, true);
+            }
+            refusals++;
+            if (i == steps.size() - 1) {
+                refused = new Refusal(told.version, wrong, now);
+                kind = Kind.REFUSED;
+            }
+        }
+        return new Verdict(kind, false);
+    }
+
+    /** Puts it in force; the path of what is wrong with it, and all as it was, where it can't be. */
+    private String taken(Told step) {
+        String wrong = Schema.wrong(step.settings, own);
+        if (wrong != null) {
+            return wrong;
+        }
+        Set<String> p = new LinkedHashSet<>(profiles), c = new LinkedHashSet<>(customers);
+        try {
+            adopt(effective(Json.object(step.settings, "settings"), p, c));
+        } catch (Json.Malformed e) {
+            return e.getMessage();
+        }
+        profiles = p;
+        customers = c;
+        good = step;
+        floor = step.version;
+        return null;
+    }
+
+    private void adopt(Map<String, Object> all) {
+        Settings read = SettingsDecoder.settings(all);
+        readers.accept(all);
+        settings = read;
+        effective = all;
+    }
+
+    /** All settings with the document laid over the relay's own; each profile and customer at its place. */
+    private Map<String, Object> effective(Map<String, Object> document, Set<String> p, Set<String> c) {
+        Map<String, Object> all = Json.object(MergePatch.apply(own, document), "settings");
+        all.put("profiles", placed("profiles", all.get("profiles"), p, Schema.PROFILES));
+        all.put("tenants", placed("tenants", all.get("tenants"), c, Schema.CUSTOMERS));
+        return all;
+    }
+
+    /** One that was taken away keeps its place, for what stands of it, and nothing new names it. */
+    private List<Object> placed(String list, Object told, Set<String> places, int most) {
+        Map<String, Map<String, Object>> now = Schema.byName(told);
+        if (list.equals("profiles") && now.isEmpty()) {
+            throw new Json.Malformed("profiles: none is left");
+        }
+        places.addAll(now.keySet());
+        if (places.size() > most) {
+            throw new Json.Malformed(list + ": more than " + most + " names since the start, those taken away counted");
+        }
+        Map<String, Map<String, Object>> before = Schema.byName(effective == null ? null : effective.get(list));
+        List<Object> all = new ArrayList<>();
+        for (String name : places) {
+            Map<String, Object> one = new LinkedHashMap<>(now.getOrDefault(name, before.getOrDefault(name, Map.of())));
+            one.put("name", name);
+            one.remove(SettingsDecoder.RETIRED);
+            if (!now.containsKey(name)) {
+                one.put(SettingsDecoder.RETIRED, true);
+                // Whoever stands of it is over no share any more.
+                one.remove("share");
+            }
+            all.add(one);
+        }
+        return all;
+    }
+
+    /** Another service is asked from now on: its history is its own, so its whole counts whatever its version. */
+    public void moved() {
+        told = new Told(Version.NONE, null);
+        floor = Version.NONE;
+        wholeWanted = true;
+    }
+
+    /** What to keep over a restart; null where no service has told anything that is in force. */
+    public Map<String, Object> kept() {
+        if (good.version.equals(Version.NONE)) {
+            return null;
+        }
+        Map<String, Object> kept = new LinkedHashMap<>();
+        kept.put("epoch", good.version.epoch);
+        kept.put("seq", good.version.seq);
+        kept.put("since", since);
+        kept.put("profiles", List.copyOf(profiles));
+        kept.put("customers", List.copyOf(customers));
+        kept.put("settings", good.settings);
+        return kept;
+    }
+
+    /** Goes on from what was kept, before anything was told; {@link Json.Malformed} where it cannot be in force. */
+    public void restore(Map<String, Object> kept) {
+        Version version = new Version(Json.whole(kept, "epoch"), Json.whole(kept, "seq"));
+        double from = Json.number(kept, "since", since);
+        Set<String> p = places(kept, "profiles", Schema.PROFILES), c = places(kept, "customers", Schema.CUSTOMERS);
+        Set<String> ownProfiles = profiles, ownCustomers = customers;
+        Told whole = new Told(version, kept.get("settings"));
+        profiles = p;
+        customers = c;
+        String wrong = version.epoch < 0 || version.seq < 0 ? "a version below 0" : taken(whole);
+        if (wrong != null) {
+            profiles = ownProfiles;
+            customers = ownCustomers;
+            throw new Json.Malformed(wrong);
+        }
+        told = whole;
+        wholeWanted = false;
+        since = from;
+    }
+
+    /** The places of the process before, so that what it learned by place is of the same names; too many begin anew. */
+    private static Set<String> places(Map<String, Object> kept, String list, int most) {
+        Set<String> places = new LinkedHashSet<>();
+        Json.list(kept, list).forEach(name -> places.add(String.valueOf(name)));
+        return places.size() > most / 2 ? new LinkedHashSet<>() : places;
+    }
+
+    /** True where only the whole document helps: there is none yet, or changes are missing. */
+    public boolean wholeWanted() {
+        return wholeWanted;
+    }
+
+    /** What was told last, good or bad: a service is asked for what is newer. */
+    public Version told() {
+        return told.version;
+    }
+
+    public Version version() {
+        return good.version;
+    }
+
+    /** When the version in force came in force; before any, when this process started. */
+    public double since() {
+        return since;
+    }
+
+    /** The last one that was refused; null: none. */
+    public Refusal refused() {
+        return refused;
+    }
+
+    public long refusals() {
+        return refusals;
+    }
+
+    /** What is in force, for the module; never changed once it is handed out. */
+    public Settings settings() {
+        return settings;
+    }
+
+    /** The same as names and values, as a relay's file has them; those taken away are marked as retired. */
+    public Map<String, Object> effective() {
+        return effective;
+    }
+}
--- a/relay/src/test/java/asterpulley/serve/BordersTest.java
+++ b/relay/src/test/java/asterpulley/serve/BordersTest.java
@@ -28,6 +28,13 @@
                 .resideInAnyPackage("asterpulley.line..", "asterpulley.serve..").check(relay);
     }
 
+    @Test
+    void whichSettingsAreInForceIsDecidedWithoutInputOrOutput() {
+        noClasses().that().resideInAPackage("asterpulley.settings").should().dependOnClassesThat()
+                .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "org.glassfish..", "asterpulley.net..",
+                        "asterpulley.line..", "asterpulley.list..", "asterpulley.serve..").check(relay);
+    }
+
     @Test
     void decisionsDoNoInputOrOutput() {
         noClasses().that().resideInAPackage("asterpulley").should().dependOnClassesThat()
