Tests of settings: two races of their own mended

Cause: SettingsService.cut met a socket that its own thread had just closed (SocketException at the end of 2 of 9 tests in one run); a test timed a setup that first waited up to 0.8 s for answers to probes (1 of 3 runs failed, bound 0.8 s).

Change: the first is taken for closed; the second has probes off and stands alone, with the same bound. What a change costs is measured apart for a new process and after 30 changes, on the latter the bound is asserted.

--- a/relay/src/test/java/asterpulley/serve/SettingsFleetTest.java
+++ b/relay/src/test/java/asterpulley/serve/SettingsFleetTest.java
@@ -25,7 +25,7 @@
 /** Several relays as processes, each with its own way to one settings service, and faults between them. */
 @Timeout(60)
 class SettingsFleetTest extends RelayStage {
-    private static final int RELAYS = 4, CHANGES = 40;
+    private static final int RELAYS = 4, CHANGES = 30;
     private static final Pattern VERSION = Pattern.compile("relay_settings_version (-?[0-9]+)\n");
 
     private final class Member {
@@ -163,9 +163,15 @@
         relay.start("asterpulley.serve.ToldRelay");
         inForce(1, List.of(relay));
         int whole = relay.way.bodies.get(0).length();
-        long bytes = relay.way.bytesIn + relay.way.bytesOut;
-        double cpu = cpu(relay);
-        for (int i = 0; i < CHANGES; i++) {
+        double first = cpu(relay), cpu = 0;
+        long bytes = 0;
+        for (int i = 0; i < 2 * CHANGES; i++) {
+            if (i == CHANGES) {
+                // A process that has just started compiles what it runs: told apart.
+                cpu = cpu(relay);
+                first = (cpu - first) / CHANGES;
+                bytes = relay.way.bytesIn + relay.way.bytesOut;
+            }
             service.change(map("profiles", map("class-" + i % 50, map("setupGoalMs", 1000 + i))));
             String has = "index=" + service.seq() + "&";
             while (relay.way.calls.stream().noneMatch(call -> call.contains(has))) {
@@ -174,8 +180,9 @@
         }
         double each = (cpu(relay) - cpu) / CHANGES;
         bytes = (relay.way.bytesIn + relay.way.bytesOut - bytes) / CHANGES;
-        System.out.printf("a change costs %.1f ms of a core and %d bytes both ways, a whole copy is %d%n", 1e3 * each, bytes, whole);
-        assertEquals(1 + CHANGES, relay.version());
+        System.out.printf("a change costs %.1f ms of a core (%.1f in a new process) and %d bytes both ways, a whole copy is %d%n",
+                1e3 * each, 1e3 * first, bytes, whole);
+        assertEquals(1 + 2 * CHANGES, relay.version());
         assertTrue(bytes < 15_000 * 2.98 / 20, "bytes a change: " + bytes);
         assertTrue(each < 0.012 * 2.98, "seconds of a core a change: " + each);
     }
--- a/relay/src/test/java/asterpulley/serve/SettingsService.java
+++ b/relay/src/test/java/asterpulley/serve/SettingsService.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -148,7 +149,12 @@
 
         private void reset(Socket socket) throws IOException {
             open.remove(socket);
-            socket.setSoLinger(true, 0);
+            try {
+                socket.setSoLinger(true, 0);
+            } catch (SocketException e) {
+                // Its own thread has closed it just now.
+                return;
+            }
             socket.close();
         }
 
--- a/relay/src/test/java/asterpulley/serve/SettingsTest.java
+++ b/relay/src/test/java/asterpulley/serve/SettingsTest.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -50,7 +51,11 @@
     }
 
     private void start(Path kept, int sockets, String... entries) throws IOException {
-        Config config = config(told -> told.replace("\"seed\"", "\"operator\":\"127.0.0.1:0\",\"settings_service\":\""
+        start(told -> told, kept, sockets, entries);
+    }
+
+    private void start(UnaryOperator<String> edit, Path kept, int sockets, String... entries) throws IOException {
+        Config config = config(told -> edit.apply(told).replace("\"seed\"", "\"operator\":\"127.0.0.1:0\",\"settings_service\":\""
                 + way.address() + "\",\"seed\""), sockets, entries);
         serve = new Serve(config, kept);
         open.add(serve::kill);
@@ -146,20 +151,26 @@
     }
 
     @Test
-    void eachReaderOfSettingsHasTheNewOnes() throws Exception {
-        Backend b = new Backend();
+    void aConnectionThatDoesNotComeUpIsGivenUpByTheNewTime() throws Exception {
         Gate gate = new Gate();
         service(1, 1, document("chat"));
-        start(null, 1000, gate.in(new Backend(), "s1"));
+        start(told -> told.replace("\"probes\":true", "\"probes\":false"), null, 1000, gate.in(new Backend(), "s1"));
         service.change(map("limits", map("dialTimeoutMs", 60, "mostSetups", 1)));
         inForce(2);
         long since = System.nanoTime();
         assertTrue(opened("chat").startsWith("BUSY"), "one setup, which does not connect");
-        assertTrue((System.nanoTime() - since) / 1e9 < 0.8, "1 s was the time before");
+        double took = (System.nanoTime() - since) / 1e9;
+        assertTrue(took < 0.8, "1 s was the time before, now it took " + took);
+    }
+
+    @Test
+    void eachReaderOfSettingsHasTheNewOnes() throws Exception {
+        Backend b = new Backend();
+        service(1, 1, document("chat"));
+        start(null, 1000, b.entry("s1", "up"));
         b.asked.drainPermits();
-        registry.tells(42, b.entry("s2", "up"));
         service.change(map("profiles", map("chat", map("setupGoalMs", 50))));
-        inForce(3);
+        inForce(2);
         long given = counted("probes_given_up");
         long asked = System.nanoTime();
         await("probes_given_up", given + 2);
@@ -170,7 +181,7 @@
         serve.changeTo(tight);
         await("configurations", 1);
         service.change(map("limits", map("maxRetryAfterMs", 8)));
-        inForce(4);
+        inForce(3);
         String[] told = opened("chat").split(" ");
         assertEquals("BUSY", told[0]);
         assertTrue(Integer.parseInt(told[1]) <= 8, told[1]);
