--- a/relay/src/test/java/asterpulley/settings/InForceTest.java
+++ b/relay/src/test/java/asterpulley/settings/InForceTest.java
@@ -292,13 +292,14 @@
     void whatIsKeptIsGoneOnFromAndWhatIsDamagedIsNot() {
         InForce relay = relay();
         assertNull(relay.kept());
-        relay.told(whole(1, 7, map("profiles", map("pay", map("credit", 3)))), 7);
+        relay.told(whole(1, 6, map("profiles", map("once", map(), "pay", map("credit", 3)))), 6);
+        relay.told(changes(1, 7, 7, map("profiles", map("once", null))), 7);
         relay.told(changes(1, 8, 8, map("profiles", map("pay", map("credit", "much")))), 8);
         InForce next = relay();
         next.restore(relay.kept());
         assertEquals(new Version(1, 7), next.version(), "the last good one");
         assertEquals(inForce(relay), inForce(next));
-        assertEquals(List.of("chat", "pay"), next.settings().profiles.stream().map(p -> p.name).toList(), "at the same places");
+        assertEquals(List.of("chat", "once", "pay"), next.settings().profiles.stream().map(p -> p.name).toList(), "at the same places");
         assertEquals(7, next.since());
         assertFalse(next.wholeWanted(), "changes are enough");
         assertEquals(Kind.REFUSED, next.told(changes(1, 8, 8, map("profiles", map("pay", map("credit", "much")))), 9).kind());
