--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -113,7 +113,8 @@
         LineTalk talk = new LineTalk();
         Lobby lobby = new Lobby(loop, book, talk);
         route = new Route(loop, book);
-        discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
+        discovery = new Discovery(config.discovery, !config.settings.listMustBeAsked, config.names, config.known, loop, book,
+                route, transport);
         farewell = new Farewell(loop, book, route, lobby, this::shut);
         watch = told == null ? null : new SettingsWatch(config.settingsService, told, this::settingsChanged, loop, book,
                 new Random(config.seed + 1), transport, kept);
--- a/relay/src/main/java/asterpulley/serve/SettingsWatch.java
+++ b/relay/src/main/java/asterpulley/serve/SettingsWatch.java
@@ -120,7 +120,7 @@
             verdict = settings.told(Json.object(Json.value(parser), "the answer"), loop.now());
         } catch (IOException | Json.Malformed e) {
             poll.hangUp();
-            failed("malformed: " + e.getMessage(), false);
+            failed("malformed: " + e.getMessage().lines().findFirst().orElse(""), false);
             return;
         }
         book.count("settings_" + verdict.kind().name().toLowerCase());
--- a/relay/src/test/java/asterpulley/serve/SettingsService.java
+++ b/relay/src/test/java/asterpulley/serve/SettingsService.java
@@ -108,6 +108,8 @@
     final class Way {
         private final ServerSocket listening;
         private volatile boolean cut;
+        /** How many came while it was cut. */
+        volatile int refused;
         private final Set<Socket> open = ConcurrentHashMap.newKeySet();
         /** The queries as they came, and the bodies as they went out. */
         final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
@@ -123,6 +125,7 @@
                     Socket socket = listening.accept();
                     open.add(socket);
                     if (cut) {
+                        refused++;
                         reset(socket);
                     } else {
                         RelayStage.background(() -> serve(socket));
