Laboratory: fleets of hollow relays, their control real, their clients left out

Cause: what the control of thousands of relays costs, and when a change is in force at all of them, could not be tried on one machine. Change: serve.Control owns what a relay needs to decide (watch, probes, module, room); Serve stands on it as before. lab.fleet plays many of them in a few processes, on real sockets, against stand-in servers and the stand-in list service, which is now of a Service (WorldList for experiments, ListService for fleets). Real relay processes run beside and the difference is told. `lab run` and `check` know a fleet's file by its [[size]] tables. Timetable, list, fit, room and judge are without input or output.

--- a/cli/src/main/java/asterpulley/cli/CheckCommand.java
+++ b/cli/src/main/java/asterpulley/cli/CheckCommand.java
@@ -1,6 +1,7 @@
 package asterpulley.cli;
 
 import asterpulley.files.Sheet;
+import asterpulley.lab.fleet.FleetReader;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -29,6 +30,8 @@
         boolean relay = kind == null ? sheet.root().has("listen") : kind == Kind.RELAY;
         if (relay) {
             RelayFile.read(sheet);
+        } else if (FleetReader.isFleet(sheet)) {
+            FleetReader.read(sheet, Main.name(file));
         } else {
             Main.plan(sheet, file);
         }
--- a/cli/src/main/java/asterpulley/cli/LabCommand.java
+++ b/cli/src/main/java/asterpulley/cli/LabCommand.java
@@ -2,6 +2,9 @@
 
 import asterpulley.files.Sheet;
 import asterpulley.lab.Lab;
+import asterpulley.lab.fleet.FleetLab;
+import asterpulley.lab.fleet.FleetPlan;
+import asterpulley.lab.fleet.FleetReader;
 import asterpulley.lab.model.Model;
 import asterpulley.lab.plan.Plan;
 import asterpulley.lab.plan.PlanReader;
@@ -76,6 +79,9 @@
         @Override
         public Integer call() throws IOException {
             Sheet sheet = Main.sheet(file);
+            if (FleetReader.isFleet(sheet)) {
+                return fleet(sheet);
+            }
             Plan plan = Main.plan(sheet, file);
             if (!sheet.problems().isEmpty()) {
                 sheet.problems().forEach(System.err::println);
@@ -110,6 +116,35 @@
             }
             return good ? Main.DONE : Main.FELL_SHORT;
         }
+
+        /** One of many hollow relays: it has sizes, and neither carriers nor baselines. */
+        private int fleet(Sheet sheet) throws IOException {
+            FleetPlan plan = FleetReader.read(sheet, Main.name(file));
+            if (!sheet.problems().isEmpty()) {
+                sheet.problems().forEach(System.err::println);
+                return Main.BAD_INPUT;
+            }
+            if (on != null && on != On.SOCKETS || policy != null) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "a fleet experiment is played by hollow relays on sockets");
+            }
+            plan.seed = seed != null ? seed : plan.seed;
+            if (quick) {
+                plan.halve();
+            }
+            boolean toOut = json != null && json.toString().equals("-");
+            FleetLab lab = new FleetLab(plan, toOut ? System.err : System.out).play();
+            boolean good = lab.verdict();
+            if (toOut) {
+                System.out.write(lab.json());
+                System.out.println();
+            } else if (json != null) {
+                Files.write(json, lab.json());
+            }
+            if (html != null) {
+                lab.html(html);
+            }
+            return good ? Main.DONE : Main.FELL_SHORT;
+        }
     }
 
     /** Drives an address. */
--- a/cli/src/main/java/asterpulley/cli/Main.java
+++ b/cli/src/main/java/asterpulley/cli/Main.java
@@ -51,7 +51,11 @@
 
     /** The name of an experiment is its file's. */
     static Plan plan(Sheet sheet, Path file) {
-        return PlanReader.read(sheet, file.getFileName().toString().replace(".toml", ""));
+        return PlanReader.read(sheet, name(file));
+    }
+
+    static String name(Path file) {
+        return file.getFileName().toString().replace(".toml", "");
     }
 
     public static void main(String[] args) {
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetFigures.java
@@ -0,0 +1,64 @@
+package asterpulley.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The names of the figures that a fleet run gives, and which of them a line is fitted through. It must never judge. */
+final class FleetFigures {
+    /** Of one relay and second while nothing but ordinary changes happens; {@code hollow.} and {@code real.} go before. */
+    static final List<String> A_RELAY = List.of("list_calls_per_s", "list_bytes_in_per_s", "list_bytes_out_per_s", "probes_per_s",
+            "probe_bytes_in_per_s", "probe_bytes_out_per_s", "messages_in_per_s", "messages_out_per_s", "bytes_per_s",
+            "cpu_percent", "heap_mb");
+    /** What hollow relays are held against the real ones in; {@code against.} goes before. */
+    static final List<String> AGAINST = List.of("list_calls", "list_bytes", "probes", "messages");
+    private static final List<String> OTHERS = List.of("hollow.thread_cpu_percent", "hollow.probe_connections", "service.list_calls_per_s", "service.list_bytes_per_s",
+            "service.whole_bytes", "inforce.p50_ms", "inforce.p99_ms", "inforce.last_ms", "inforce.missing", "inforce.count",
+            "decision.p50_us", "decision.p99_us", "tunnels.opened_share", "worst.calls_per_s", "worst.connects_per_s",
+            "worst.bytes_per_s", "worst.probes_per_s", "whole_asked", "run.late_share");
+    private static final List<String> AFTER = List.of("calls_worst", "connects_worst", "bytes_worst", "whole_asked", "told_s");
+    /** A line is fitted through these over the sizes. */
+    static final List<String> FITTED = List.of("hollow.list_calls_per_s", "hollow.list_bytes_in_per_s", "hollow.probes_per_s",
+            "hollow.bytes_per_s", "hollow.cpu_percent", "hollow.thread_cpu_percent", "hollow.heap_mb", "service.list_calls_per_s",
+            "service.list_bytes_per_s", "service.whole_bytes", "inforce.p99_ms", "inforce.last_ms", "decision.p50_us",
+            "worst.calls_per_s", "worst.connects_per_s");
+
+    private FleetFigures() {
+    }
+
+    /** True where some run of this plan gives that figure. */
+    static boolean known(String figure, FleetPlan plan) {
+        return names(plan).contains(figure);
+    }
+
+    private static List<String> names(FleetPlan plan) {
+        List<String> names = new ArrayList<>(OTHERS);
+        A_RELAY.forEach(f -> names.add("hollow." + f));
+        if (plan.real > 0) {
+            A_RELAY.forEach(f -> names.add("real." + f));
+            AGAINST.forEach(f -> names.add("against." + f));
+        }
+        for (FleetPlan.Entry e : plan.entries) {
+            AFTER.forEach(f -> names.add("after." + e.kind.word() + "." + f));
+        }
+        return names;
+    }
+
+    /** How far hollow relays are from real ones, as a part of the real ones' figure. */
+    static void against(Map<String, Double> figures) {
+        part(figures, "list_calls", "list_calls_per_s");
+        part(figures, "list_bytes", "list_bytes_in_per_s", "list_bytes_out_per_s");
+        part(figures, "probes", "probes_per_s");
+        part(figures, "messages", "messages_in_per_s", "messages_out_per_s");
+    }
+
+    private static void part(Map<String, Double> figures, String to, String... of) {
+        double hollow = 0;
+        double real = 0;
+        for (String f : of) {
+            hollow += figures.get("hollow." + f);
+            real += figures.get("real." + f);
+        }
+        figures.put("against." + to, real > 0 ? Math.abs(hollow / real - 1) : Double.NaN);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/fleet/RealClients.java
@@ -0,0 +1,81 @@
+package asterpulley.lab.fleet;
+
+import asterpulley.lab.sock.Conn;
+import asterpulley.lab.sock.Pump;
+import java.net.InetSocketAddress;
+
+/**
+ * The clients of one real relay beside the hollow ones: openings at the same rate as theirs, which stand as long. It must
+ * never retry.
+ */
+final class RealClients {
+    private final FleetPlan plan;
+    private final Pump pump;
+    private final InetSocketAddress relay;
+    private final int number;
+    private long tunnels;
+    boolean ready, over;
+    long opened, failed;
+
+    RealClients(FleetPlan plan, Pump pump, InetSocketAddress relay, int number) {
+        this.plan = plan;
+        this.pump = pump;
+        this.relay = relay;
+        this.number = number;
+    }
+
+    /** Asks until the relay answers, as a front does. */
+    void waitFor() {
+        pump.connect(relay, new Conn.Ear() {
+            @Override
+            public void up(Conn conn) {
+                conn.say("PING");
+            }
+
+            @Override
+            public void line(Conn conn, String line) {
+                conn.close();
+                ready = true;
+            }
+
+            @Override
+            public void ended(Conn conn, boolean broken) {
+                if (!over) {
+                    pump.after(0.05, RealClients.this::waitFor);
+                }
+            }
+        });
+    }
+
+    void start() {
+        if (over || plan.tunnels <= 0) {
+            return;
+        }
+        pump.after(1 / plan.tunnels, this::start);
+        String id = Long.toHexString((0xfL << 56) + ((long) number << 32) + ++tunnels);
+        pump.connect(relay, new Conn.Ear() {
+            @Override
+            public void up(Conn conn) {
+                conn.say("OPEN " + id + " " + id + " c=live,t=all,d=2000,g=c" + id);
+            }
+
+            @Override
+            public void line(Conn conn, String line) {
+                if (line.startsWith("UP")) {
+                    opened++;
+                    pump.after(plan.lifetime, conn::close);
+                } else if (line.startsWith("BUSY") || line.startsWith("ERR")) {
+                    failed++;
+                    conn.close();
+                } else {
+                    conn.close();
+                }
+            }
+
+            @Override
+            public void ended(Conn conn, boolean broken) {
+                // It stood where a server or the relay went.
+            }
+        });
+    }
+}
--- a/lab/src/main/java/asterpulley/lab/plan/PlanReader.java
+++ b/lab/src/main/java/asterpulley/lab/plan/PlanReader.java
@@ -7,6 +7,7 @@
 import asterpulley.lab.world.Figures;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -58,13 +59,9 @@
             plan.faults.add(fault(p, plan));
         }
         for (String text : root.texts("expect")) {
-            Matcher m = EXPECT.matcher(text);
-            if (!m.matches()) {
-                root.wrong("expect", "'" + text + "' is not of the form: figure < number", null);
-            } else if (!Figures.known(m.group(1), plan)) {
-                root.wrong("expect", "no run gives the figure " + m.group(1), null);
-            } else {
-                plan.expects.add(new Plan.Expect(m.group(1), m.group(2), Double.parseDouble(m.group(3))));
+            Plan.Expect e = expect(root, text, figure -> Figures.known(figure, plan));
+            if (e != null) {
+                plan.expects.add(e);
             }
         }
         for (String baseline : root.texts("baselines")) {
@@ -77,6 +74,18 @@
         return plan;
     }
 
+    /** One line of what is expected; null, and told, where it is none or names a figure that no run gives. */
+    public static Plan.Expect expect(Part root, String text, Predicate<String> known) {
+        Matcher m = EXPECT.matcher(text);
+        if (!m.matches()) {
+            return root.wrong("expect", "'" + text + "' is not of the form: figure < number", null);
+        }
+        if (!known.test(m.group(1))) {
+            return root.wrong("expect", "no run gives the figure " + m.group(1), null);
+        }
+        return new Plan.Expect(m.group(1), m.group(2), Double.parseDouble(m.group(3)));
+    }
+
     private static void world(Part root, Plan plan) {
         Part rooms = root.part("rooms");
         plan.rooms.addAll(rooms.texts("names"));
--- a/lab/src/main/java/asterpulley/lab/report/Reports.java
+++ b/lab/src/main/java/asterpulley/lab/report/Reports.java
@@ -61,12 +61,7 @@
     }
 
     public static void html(Plan plan, List<Outcome> all, Path to) throws IOException {
-        StringBuilder page = new StringBuilder("<!doctype html><meta charset=\"utf-8\"><title>").append(safe(plan.title))
-                .append("</title><style>").append(resource("uPlot.min.css"))
-                .append("body{font:14px sans-serif;margin:2em;max-width:1100px}table{border-collapse:collapse}")
-                .append("td,th{padding:2px 10px;text-align:right}td:first-child{text-align:left}.short{color:#b00}")
-                .append("</style><h1>").append(safe(plan.title)).append("</h1><p>experiment ").append(safe(plan.name))
-                .append(", seed ").append(plan.seed).append("</p>");
+        StringBuilder page = new StringBuilder(head(plan.title, plan.name, plan.seed));
         for (Outcome o : all) {
             page.append("<h2>").append(safe(o.policy)).append(" on ").append(o.carrier).append("</h2>");
             if (o.noVerdict != null) {
@@ -74,10 +69,7 @@
             }
             page.append("<table><tr><th>figure<th>is<th>expected<th>");
             for (Plan.Expect e : plan.expects) {
-                page.append("<tr").append(o.holds(e) ? "" : " class=short").append("><td>").append(safe(e.figure()))
-                        .append("<td>").append(Tables.plain(o.figure(e.figure()))).append("<td>")
-                        .append(safe(e.sign())).append(' ').append(Tables.plain(e.bound())).append("<td>")
-                        .append(o.holds(e) ? "holds" : "short");
+                page.append(row(e, o.figure(e.figure()), o.holds(e)));
             }
             page.append("</table>");
             o.notes.forEach(n -> page.append("<p class=short>").append(safe(n)).append("</p>"));
@@ -87,22 +79,41 @@
             page.append("<li>").append(Tables.plain(f.at)).append(" s: ").append(safe(f.kind)).append(" for ")
                     .append(Tables.plain(f.lasts)).append(" s");
         }
-        page.append("</ul><h2>By the second</h2><div id=plots></div><script>").append(resource("uPlot.iife.min.js"))
-                .append("</script><script>const plays=").append(new String(json(plan, all), StandardCharsets.UTF_8)
-                        .replace("</", "<\\/")).append(".plays;\n").append("""
+        page.append("</ul>").append(plots(new String(json(plan, all), StandardCharsets.UTF_8)));
+        Files.writeString(to, page.toString());
+    }
+
+    /** A page up to its first play. */
+    public static String head(String title, String name, long seed) throws IOException {
+        return "<!doctype html><meta charset=\"utf-8\"><title>" + safe(title) + "</title><style>" + resource("uPlot.min.css")
+                + "body{font:14px sans-serif;margin:2em;max-width:1100px}table{border-collapse:collapse}"
+                + "td,th{padding:2px 10px;text-align:right}td:first-child{text-align:left}.short{color:#b00}"
+                + "</style><h1>" + safe(title) + "</h1><p>experiment " + safe(name) + ", seed " + seed + "</p>";
+    }
+
+    /** An expectation's row. */
+    public static String row(Plan.Expect e, double is, boolean holds) {
+        return "<tr" + (holds ? "" : " class=short") + "><td>" + safe(e.figure()) + "<td>" + Tables.plain(is) + "<td>"
+                + safe(e.sign()) + ' ' + Tables.plain(e.bound()) + "<td>" + (holds ? "holds" : "short");
+    }
+
+    /** What happened by the second, drawn from a file's JSON. */
+    public static String plots(String json) throws IOException {
+        return "<h2>By the second</h2><div id=plots></div><script>" + resource("uPlot.iife.min.js")
+                + "</script><script>const plays=" + json.replace("</", "<\\/")
+                + ".plays.filter(p=>Object.keys(p.by_second).length);\n" + """
                 const colours=["#06c","#c30","#290","#a0a","#880","#444"];
-                for (const name of Object.keys(plays[0].by_second)) {
+                for (const name of Object.keys((plays[0]||{by_second:{}}).by_second)) {
                   const n=Math.max(...plays.map(p=>p.by_second[name].length));
                   const data=[[...Array(n).keys()].map(i=>i+1),...plays.map(p=>p.by_second[name])];
                   const series=[{label:"second"},...plays.map((p,i)=>({label:p.policy+" on "+p.on,stroke:colours[i%6]}))];
                   new uPlot({title:name,width:1000,height:180,scales:{x:{time:false}},series},data,
                     document.getElementById("plots"));
                 }
-                """).append("</script>\n");
-        Files.writeString(to, page.toString());
+                """ + "</script>\n";
     }
 
-    private static String safe(String text) {
+    public static String safe(String text) {
         return text.replace("&", "&amp;").replace("<", "&lt;");
     }
 
--- a/lab/src/main/java/asterpulley/lab/sock/ListStandIn.java
+++ b/lab/src/main/java/asterpulley/lab/sock/ListStandIn.java
@@ -1,70 +1,85 @@
 package asterpulley.lab.sock;
 
-import asterpulley.Listed;
-import asterpulley.lab.plan.Plan;
-import asterpulley.lab.world.Registry;
-import asterpulley.lab.world.World;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.function.Function;
+import java.util.Arrays;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * The service of the server list as one relay sees it, at an address of its own, so that it is known who was told what
- * and when. It must tell only what the world's registry knows.
+ * The words of the service of the server list towards one caller: reads its calls, lets one wait for news and answers.
+ * It must tell only what its service knows.
  */
-final class ListStandIn implements Conn.Ear {
-    private static final ObjectMapper JSON = new ObjectMapper();
+public final class ListStandIn implements Conn.Ear {
+    /** What is told, and who hears of it that it was. */
+    public interface Service {
+        boolean down();
+
+        long version();
+
+        /** The whole list. */
+        Answer whole();
+
+        /** What changed after that version; nothing, where that is the version now. */
+        Answer since(long version);
+
+        /** So many bytes came with a call, or went out with an answer. */
+        default void traffic(int in, int out) {
+        }
+
+        /** Its connection ended. */
+        default void left(ListStandIn caller) {
+        }
+    }
+
+    /** An answer's body, and what is to be done once it is on its way. */
+    public record Answer(byte[] body, Runnable told) {
+    }
+
     private static final Pattern CALL = Pattern.compile("GET /registry/instances(?:\\?index=([0-9]+)&wait=([0-9]+))? HTTP/1.1");
+    private static final byte[] NOTHING = "{}".getBytes(StandardCharsets.ISO_8859_1);
+    private static final int LINE_END = 2;
 
-    private final Sockets carrier;
     private final Pump pump;
-    private final World world;
-    private final int relay;
-    private final Function<Integer, String> dials;
-    final InetSocketAddress address;
+    private final Service service;
     private String call;
     private Conn waiting;
     private long since;
-    private int calls;
+    private int calls, heard;
 
-    ListStandIn(Sockets carrier, Pump pump, World world, int relay, Function<Integer, String> dials,
-            InetSocketAddress at) throws IOException {
-        this.carrier = carrier;
+    public ListStandIn(Pump pump, Service service) {
         this.pump = pump;
-        this.world = world;
-        this.relay = relay;
-        this.dials = dials;
-        address = pump.listen(at, conn -> this).address;
+        this.service = service;
+    }
+
+    /** For a service that has an address for each caller. */
+    InetSocketAddress listens(InetSocketAddress at) throws IOException {
+        return pump.listen(at, conn -> this).address;
     }
 
     @Override
     public void line(Conn conn, String line) {
+        heard += line.length() + LINE_END;
         if (line.startsWith("GET ")) {
             call = line;
         } else if (line.isEmpty() && call != null) {
             Matcher m = CALL.matcher(call);
             call = null;
             calls++;
+            service.traffic(heard, 0);
+            heard = 0;
             if (!m.matches()) {
-                say(conn, "400 Bad Request", "{}");
-            } else if (world.registry.down()) {
-                say(conn, "503 Service Unavailable", "{}");
+                say(conn, "400 Bad Request", NOTHING);
+            } else if (service.down()) {
+                say(conn, "503 Service Unavailable", NOTHING);
             } else if (m.group(1) == null) {
-                tell(conn, true, world.registry.whole());
+                tell(conn, service.whole());
             } else {
                 since = Long.parseLong(m.group(1));
                 waiting = conn;
                 int n = calls;
-                if (world.registry.version() > since) {
+                if (service.version() > since) {
                     news();
                 } else {
                     pump.after(Long.parseLong(m.group(2)) / 1e3, () -> {
@@ -82,62 +97,38 @@
         if (waiting == conn) {
             waiting = null;
         }
+        service.left(this);
     }
 
     /** Answers the call that waits, with what is new since its version. */
-    void news() {
-        if (waiting != null && !world.registry.down()) {
+    public void news() {
+        if (waiting != null && !service.down()) {
             Conn conn = waiting;
             waiting = null;
-            tell(conn, false, world.registry.since(since));
+            tell(conn, service.since(since));
         }
     }
 
-    void goesDown() {
+    /** Breaks off the call that waits. */
+    public void goesDown() {
         if (waiting != null) {
             waiting.reset();
             waiting = null;
+            service.left(this);
         }
     }
 
-    private void tell(Conn conn, boolean whole, List<Registry.Entry> entries) {
-        say(conn, "200 OK", text(list(whole, entries)));
-        world.told(relay, entries);
-    }
-
-    private static void say(Conn conn, String status, String body) {
-        conn.raw(("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
-                + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1));
+    private void tell(Conn conn, Answer answer) {
+        say(conn, "200 OK", answer.body);
+        answer.told.run();
     }
 
-    Map<String, Object> list(boolean whole, List<Registry.Entry> entries) {
-        Plan plan = world.plan;
-        List<Object> hosts = new ArrayList<>();
-        for (Registry.Entry e : entries) {
-            Map<String, Object> host = new LinkedHashMap<>();
-            host.put("host", e.server().name);
-            host.put("dial", dials.apply(e.server().index));
-            host.put("site", plan.rooms.get(e.server().room));
-            host.put("class", e.server().kind.kind);
-            host.put("block", e.server().room);
-            host.put("health", e.state() == Listed.State.RUNNING ? "up" : e.state() == Listed.State.DRAINING ? "draining"
-                    : "removed");
-            host.put("share", 1.0);
-            host.put("born_ms", Double.isInfinite(e.startedAt()) ? 0 : Math.round(carrier.unix(e.startedAt()) * 1000));
-            hosts.add(host);
-        }
-        Map<String, Object> list = new LinkedHashMap<>();
-        list.put("seq", world.registry.version());
-        list.put("whole", whole);
-        list.put("hosts", hosts);
-        return list;
-    }
-
-    static String text(Object json) {
-        try {
-            return JSON.writeValueAsString(json);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException(e);
-        }
+    private void say(Conn conn, String status, byte[] body) {
+        byte[] head = ("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length
+                + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = Arrays.copyOf(head, head.length + body.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        service.traffic(0, all.length);
+        conn.raw(all);
     }
 }
--- a/lab/src/main/java/asterpulley/lab/sock/Pump.java
+++ b/lab/src/main/java/asterpulley/lab/sock/Pump.java
@@ -92,6 +92,13 @@
         return beats == 0 ? 0 : (double) lateBeats / beats;
     }
 
+    /** Lateness counts from now on: what a start costs is not what the run does. */
+    public void countFromNow() {
+        beats = 0;
+        lateBeats = 0;
+        worstLate = 0;
+    }
+
     public double worstLate() {
         return worstLate;
     }
--- a/lab/src/main/java/asterpulley/lab/sock/RelayProcess.java
+++ b/lab/src/main/java/asterpulley/lab/sock/RelayProcess.java
@@ -42,7 +42,7 @@
     public static RelayProcess start(Path folder, String name, Map<String, Object> config, int memory,
             InetSocketAddress address) throws IOException {
         Path file = folder.resolve(name + ".json");
-        Files.writeString(file, ListStandIn.text(config));
+        Files.writeString(file, WorldList.text(config));
         int heap = Math.max(12, Math.min(2048, memory - memory / 8 - 44));
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xshare:auto", "-Xss512k",
@@ -71,7 +71,7 @@
     /** Gives it another configuration, and tells it to read that. */
     void reload(Map<String, Object> config) throws IOException {
         Path anew = file.resolveSibling(file.getFileName() + ".new");
-        Files.writeString(anew, ListStandIn.text(config));
+        Files.writeString(anew, WorldList.text(config));
         Files.move(anew, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
         run("kill", "-HUP", Long.toString(process.pid()));
     }
--- a/lab/src/main/java/asterpulley/lab/sock/Sockets.java
+++ b/lab/src/main/java/asterpulley/lab/sock/Sockets.java
@@ -38,7 +38,9 @@
     private final InetAddress here;
     private final int firstPort;
     private final List<StandIn> servers = new ArrayList<>();
-    private final List<ListStandIn> lists = new ArrayList<>();
+    private final List<WorldList> lists = new ArrayList<>();
+    private final List<ListStandIn> services = new ArrayList<>();
+    private final List<InetSocketAddress> listsAt = new ArrayList<>();
     private final RelayProcess[] relays;
     private final double[] cpu;
     private final boolean[] leaving, awaited;
@@ -79,8 +81,9 @@
             }
             for (int r = 0; r < relays.length; r++) {
                 int relay = r;
-                lists.add(new ListStandIn(this, pump, world, r, i -> text(servers.get(i).address(relay)),
-                        new InetSocketAddress(here, 0)));
+                lists.add(new WorldList(this, world, r, i -> text(servers.get(i).address(relay))));
+                services.add(new ListStandIn(pump, lists.get(r)));
+                listsAt.add(services.get(r).listens(new InetSocketAddress(here, 0)));
                 begin(r);
             }
             watch();
@@ -156,7 +159,7 @@
     }
 
     private Map<String, Object> config(int r) {
-        return RelayConfig.of(plan, world, r, text(relayAt(r)), text(lists.get(r).address),
+        return RelayConfig.of(plan, world, r, text(relayAt(r)), text(listsAt.get(r)),
                 lists.get(r).list(true, world.registry.whole()));
     }
 
@@ -278,13 +281,13 @@
 
     @Override
     public void listed() {
-        lists.forEach(ListStandIn::news);
+        services.forEach(ListStandIn::news);
     }
 
     @Override
     public void listDown(boolean down) {
         if (down) {
-            lists.forEach(ListStandIn::goesDown);
+            services.forEach(ListStandIn::goesDown);
         }
     }
 
--- /dev/null
+++ b/lab/src/test/java/asterpulley/lab/fleet/FleetTest.java
@@ -0,0 +1,156 @@
+package asterpulley.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import asterpulley.files.Sheet;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A small fleet of hollow relays on sockets: it is measured, and its judge can fail. */
+@Timeout(120)
+class FleetTest {
+    private static final String SMALL = """
+            length_s = %d
+            settle_s = 1.5
+            zones = 4
+            expect = ["inforce.last_ms < 700", "inforce.missing = 0", "hollow.heap_mb < 64"]
+            [relays]
+            real = %d
+            start_within_s = 1
+            [load]
+            tunnels_per_s = 2
+            lifetime_s = 3
+            [[size]]
+            relays = 20
+            servers = 12
+            [[entry]]
+            kind = "change"
+            at_s = 0.2
+            for_s = 100
+            every_s = 0.3
+            """;
+    private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
+
+    private FleetPlan plan(String text) {
+        Sheet sheet = Sheet.of("small.toml", text);
+        FleetPlan plan = FleetReader.read(sheet, "small");
+        assertEquals(List.of(), sheet.problems());
+        return plan;
+    }
+
+    private FleetLab play(String text) throws IOException {
+        return new FleetLab(plan(text), new PrintStream(printed)).play();
+    }
+
+    @Test
+    void hollowRelaysAreMeasuredBesideARealOne() throws IOException {
+        FleetLab lab = play(SMALL.formatted(6, 1));
+        boolean good = lab.verdict();
+        FleetOutcome o = lab.outcomes().get(0);
+        // A busy machine may leave no verdict; what was measured then still has to hold.
+        assertEquals(o.noVerdict == null, good, printed.toString());
+        assertTrue(o.figure("inforce.last_ms") < 700 && o.figure("inforce.missing") == 0, printed.toString());
+        // 20 changes, each told to 20 relays; the last two may be made too close to the end.
+        assertTrue(o.figure("inforce.count") >= 18 * 20, o.figures.toString());
+        assertEquals(o.figure("real.list_calls_per_s"), o.figure("hollow.list_calls_per_s"), 0.34, o.figures.toString());
+        assertTrue(o.figure("hollow.probes_per_s") > 1 && o.figure("real.probes_per_s") > 1, o.figures.toString());
+        assertTrue(o.figure("tunnels.opened_share") > 0.9, o.figures.toString());
+        assertTrue(o.figure("hollow.cpu_percent") > 0 && o.figure("hollow.heap_mb") > 0, o.figures.toString());
+        assertTrue(printed.toString().contains("hollow and real relays differ by"), printed.toString());
+        JsonNode json = new ObjectMapper().readTree(lab.json());
+        assertEquals(6, json.get("plays").get(0).get("by_second").get("list_calls").size());
+    }
+
+    @Test
+    void aListThatIsToldLateMakesAnExpectationFall() throws IOException {
+        FleetLab lab = play(SMALL.formatted(4, 0) + "[[entry]]\nkind = \"list-late\"\nat_s = 0\nfor_s = 2\ndelay_s = 1.2\n");
+        assertFalse(lab.verdict());
+        assertTrue(lab.outcomes().get(0).figure("inforce.last_ms") >= 1200, printed.toString());
+        assertTrue(printed.toString().contains("SHORT    inforce.last_ms"), printed.toString());
+    }
+
+    @Test
+    void afterACutAllComeBackAndLearnWhatTheyMissed() throws IOException {
+        FleetLab lab = play(SMALL.formatted(8, 0) + """
+                [[entry]]
+                kind = "list-cut"
+                at_s = 1
+                for_s = 2
+                [[entry]]
+                kind = "zone-relays"
+                at_s = 1
+                for_s = 1
+                zone = 2
+                """);
+        lab.verdict();
+        FleetOutcome o = lab.outcomes().get(0);
+        // Twenty calls at least in the seconds after it, and as many new connections over the run.
+        assertTrue(o.figure("after.list-cut.calls_worst") >= 10, o.figures.toString());
+        assertTrue(o.figure("worst.connects_per_s") >= 10, o.figures.toString());
+        assertTrue(o.figure("after.list-cut.told_s") > 0 && o.figure("after.list-cut.told_s") < 7, o.figures.toString());
+        assertEquals(0, o.figure("inforce.missing"), o.figures.toString());
+    }
+
+    @Test
+    void relaysThatKnowNoListAskForTheWholeOne() throws IOException {
+        FleetLab lab = play(SMALL.formatted(2, 0).replace("[relays]", "[relays]\nknown = false"));
+        lab.verdict();
+        assertEquals(20, lab.outcomes().get(0).figure("whole_asked"), printed.toString());
+    }
+
+    @Test
+    void aSizeThatDoesNotFitIsToldAndGivesNoVerdict() throws IOException {
+        FleetLab lab = play(SMALL.formatted(4, 0).replace("relays = 20", "relays = 100000"));
+        assertFalse(lab.verdict());
+        assertTrue(printed.toString().contains("not run, it does not fit"), printed.toString());
+    }
+
+    @Test
+    void everyFleetExperimentOfTheRepositoryReads() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("../experiments/fleet"))) {
+            Map<String, List<String>> wrong = new TreeMap<>();
+            for (Path file : files.filter(f -> f.toString().endsWith(".toml")).toList()) {
+                Sheet sheet = Sheet.read(file);
+                FleetPlan plan = FleetReader.read(sheet, file.getFileName().toString());
+                if (!sheet.problems().isEmpty() || plan.expects.isEmpty() || plan.sizes.isEmpty()) {
+                    wrong.put(file.toString(), sheet.problems());
+                }
+            }
+            assertEquals(Map.of(), wrong);
+        }
+    }
+
+    @Test
+    void aWrongFileIsToldWhole() {
+        Sheet sheet = Sheet.of("w.toml", "expect = [\"hollow.bytes < 1\", \"after.roll.told_s < 1\"]\n[[size]]\nrelays = 0\n"
+                + "[[entry]]\nkind = \"roll-back\"\nat_s = 1\nzone = 12\n");
+        FleetReader.read(sheet, "w");
+        String told = String.join("\n", sheet.problems());
+        for (String part : List.of("no run gives the figure hollow.bytes", "no run gives the figure after.roll.told_s",
+                "size[0].servers: is missing", "size[0].relays: 0 is not between", "entry[0].kind: 'roll-back' is none",
+                "entry[0].zone: 12 is not between")) {
+            assertTrue(told.contains(part), part + " in " + told);
+        }
+    }
+
+    @Test
+    void aPlanWithoutRealRelaysNamesNoneOfTheirFigures() {
+        assertNull(plan(SMALL.formatted(4, 0)).expects.stream().filter(e -> e.figure().startsWith("real.")).findAny().orElse(null));
+        assertFalse(FleetFigures.known("real.cpu_percent", plan(SMALL.formatted(4, 0))));
+        assertTrue(FleetFigures.known("real.cpu_percent", plan(SMALL.formatted(4, 1))));
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/asterpulley/lab/fleet/ReckoningTest.java
@@ -0,0 +1,145 @@
+package asterpulley.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import asterpulley.files.Sheet;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a fleet run works out without sockets: its timetable, when changes were in force, lines through figures, its room. */
+class ReckoningTest {
+    private static final FleetPlan.Size SIZE = new FleetPlan.Size(20, 12);
+
+    private static FleetPlan plan(String entries) {
+        return FleetReader.read(Sheet.of("t.toml", "length_s = 30\nzones = 4\n[[size]]\nrelays = 20\nservers = 12\n" + entries), "t");
+    }
+
+    @Test
+    void aLineIsFittedWithTheErrorOfItsSlope() {
+        Fit exact = Fit.line(new double[] {1, 2, 3}, new double[] {5, 7, 9});
+        assertEquals(2, exact.slope(), 1e-12);
+        assertEquals(0, exact.error(), 1e-12);
+        assertEquals(3, exact.at0(), 1e-12);
+        // By hand: 2.9 / 5; what is left is 0.12, -0.26, 0.16 and -0.02, their squares 0.108 together.
+        Fit rough = Fit.line(new double[] {1, 2, 3, 4}, new double[] {1.2, 1.4, 2.4, 2.8});
+        assertEquals(0.58, rough.slope(), 1e-9);
+        assertEquals(Math.sqrt(0.108 / 2 / 5), rough.error(), 1e-9);
+        assertTrue(Double.isNaN(Fit.line(new double[] {1, 2}, new double[] {1, 2}).error()));
+        assertTrue(Double.isNaN(Fit.line(new double[] {1, 1}, new double[] {1, 2}).slope()));
+    }
+
+    @Test
+    void aChangeCountsFromWhenItWasMadeForWhoeverStood() {
+        InForce f = new InForce();
+        long ms = 1_000_000;
+        f.saw(new InForce.Sight(1, InForce.What.STARTED, 1, 0));
+        f.saw(new InForce.Sight(2, InForce.What.STARTED, 1, 0));
+        f.made(2, 100 * ms, true);
+        f.made(3, 200 * ms, false);
+        f.made(4, 300 * ms, true);
+        f.saw(new InForce.Sight(1, InForce.What.CAME_TO, 2, 110 * ms));
+        f.saw(new InForce.Sight(1, InForce.What.CAME_TO, 4, 350 * ms));
+        // The second stops, is back with its old list, and comes to what was made while it was gone: that does not count.
+        f.saw(new InForce.Sight(2, InForce.What.STOPPED, 0, 150 * ms));
+        f.saw(new InForce.Sight(2, InForce.What.STARTED, 1, 400 * ms));
+        f.saw(new InForce.Sight(2, InForce.What.CAME_TO, 4, 410 * ms));
+        f.made(5, 500 * ms, true);
+        f.saw(new InForce.Sight(2, InForce.What.CAME_TO, 5, 530 * ms));
+        f.work(600 * ms);
+        assertEquals(3, f.us.getTotalCount());
+        assertEquals(50_000, f.us.getMaxValue(), 50);
+        assertEquals(1, f.missing);
+        assertEquals(4, f.versionAt(300 * ms));
+    }
+
+    @Test
+    void toldIsTheLastOfThoseThatStoodAllTheWhile() {
+        InForce f = new InForce();
+        f.saw(new InForce.Sight(1, InForce.What.STARTED, 1, 0));
+        f.saw(new InForce.Sight(2, InForce.What.STARTED, 1, 0));
+        f.saw(new InForce.Sight(3, InForce.What.STARTED, 1, 2_000_000_000L));
+        f.saw(new InForce.Sight(1, InForce.What.CAME_TO, 9, 1_500_000_000L));
+        f.saw(new InForce.Sight(2, InForce.What.CAME_TO, 9, 2_250_000_000L));
+        assertEquals(1.25, f.told(9, 1_000_000_000L), 1e-9);
+        f.saw(new InForce.Sight(4, InForce.What.STARTED, 1, 0));
+        assertTrue(Double.isNaN(f.told(9, 1_000_000_000L)));
+    }
+
+    @Test
+    void theTimetableIsWorkedOutBeforeTheRun() {
+        Schedule s = new Schedule(plan("""
+                [[entry]]
+                kind = "change"
+                at_s = 1
+                for_s = 100
+                every_s = 3
+                [[entry]]
+                kind = "zone-relays"
+                at_s = 12
+                for_s = 4
+                zone = 2
+                [[entry]]
+                kind = "roll"
+                at_s = 20
+                step_share = 0.25
+                step_s = 1
+                down_s = 0.5
+                """), SIZE);
+        assertEquals(12, s.calm);
+        assertEquals(10, s.steps.stream().filter(t -> t.act() == Schedule.Act.CHANGE).count());
+        assertEquals(List.of(1, 5, 9, 13, 17), s.steps.stream().filter(t -> t.act() == Schedule.Act.RELAYS_BACK).findFirst().orElseThrow().who());
+        assertEquals(20, s.steps.stream().filter(t -> t.at() >= 20 && t.act() == Schedule.Act.RELAYS_GONE)
+                .mapToInt(t -> t.who().size()).sum());
+        assertEquals(List.of(new Schedule.After(FleetPlan.Kind.ZONE_RELAYS, 16, 26),
+                new Schedule.After(FleetPlan.Kind.ROLL, 20, 30)), s.afters);
+        assertEquals(s.steps, new Schedule(plan("""
+                [[entry]]
+                kind = "change"
+                at_s = 1
+                for_s = 100
+                every_s = 3
+                [[entry]]
+                kind = "zone-relays"
+                at_s = 12
+                for_s = 4
+                zone = 2
+                [[entry]]
+                kind = "roll"
+                at_s = 20
+                step_share = 0.25
+                step_s = 1
+                down_s = 0.5
+                """), SIZE).steps);
+    }
+
+    @Test
+    void callersAtOneVersionAreToldTheSameBytes() {
+        Catalog c = new Catalog(plan(""), 12);
+        Catalog.Page page = c.new Page(s -> "127.0.0.1:" + s);
+        assertSame(page.whole(), page.whole());
+        c.change(3, Catalog.Health.REMOVED, 0);
+        c.change(4, Catalog.Health.DRAINING, 0);
+        String since = new String(page.since(1), StandardCharsets.ISO_8859_1);
+        assertTrue(since.contains("\"s4\"") && since.contains("removed") && since.contains("\"s5\"") && since.contains("\"seq\":3"), since);
+        assertTrue(!new String(page.since(2), StandardCharsets.ISO_8859_1).contains("\"s4\""));
+        assertTrue(!new String(page.whole(), StandardCharsets.ISO_8859_1).contains("\"s4\""));
+        assertTrue(new String(page.since(3), StandardCharsets.ISO_8859_1).contains("\"hosts\":[]"));
+    }
+
+    @Test
+    void whatDoesNotFitIsToldWhy() {
+        FleetPlan plan = plan("");
+        plan.probeConnections = 10;
+        assertNull(Room.of(plan, new FleetPlan.Size(400, 100), 20_000, 24_000).tooMuch());
+        assertTrue(Room.of(plan, new FleetPlan.Size(400, 100), 1_000, 24_000).hollowProcesses() > 1);
+        assertTrue(Room.of(plan, new FleetPlan.Size(6_400, 100), 7_000, 24_000).tooMuch().contains("descriptors"));
+        assertTrue(Room.of(plan, new FleetPlan.Size(6_400, 400), 20_000, 8_000).tooMuch().contains("MB"));
+        plan.probeConnections = 0;
+        assertNotNull(Room.of(plan, new FleetPlan.Size(6_400, 400), 20_000, 200_000).tooMuch());
+    }
+}
--- a/relay/src/main/java/asterpulley/list/Discovery.java
+++ b/relay/src/main/java/asterpulley/list/Discovery.java
@@ -87,6 +87,11 @@
         return dials.get(host);
     }
 
+    /** The version of the list as last told. */
+    public long version() {
+        return version;
+    }
+
     /** Before the watch begins: catches up first, and tells. The list that a relay is handed at its start may be old. */
     public void whenCurrent(Runnable then) {
         whenCurrent = then;
--- a/relay/src/main/java/asterpulley/net/Admit.java
+++ b/relay/src/main/java/asterpulley/net/Admit.java
@@ -57,21 +57,23 @@
 
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
-        if (ctx.getMessage() instanceof Passage passage) {
-            boolean full = !fits(room - reserve - 1);
-            // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free.
-            if (full ? !crowded : crowded && book.sockets < room - reserve - reserve / 2) {
-                crowded = full;
-                book.log((full ? "no sockets left: declining" : "sockets again") + ", in use " + book.sockets
-                        + " of " + room);
-            }
-            if (full) {
-                book.count("declined_no_sockets");
-                book.decline(passage, comeBack());
-                return ctx.getStopAction();
-            }
+        return ctx.getMessage() instanceof Passage passage && !admits(passage) ? ctx.getStopAction() : ctx.getInvokeAction();
+    }
+
+    /** False where there is no room for this tunnel: it is declined then. */
+    public boolean admits(Passage passage) {
+        boolean full = !fits(room - reserve - 1);
+        // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free.
+        if (full ? !crowded : crowded && book.sockets < room - reserve - reserve / 2) {
+            crowded = full;
+            book.log((full ? "no sockets left: declining" : "sockets again") + ", in use " + book.sockets
+                    + " of " + room);
         }
-        return ctx.getInvokeAction();
+        if (full) {
+            book.count("declined_no_sockets");
+            book.decline(passage, comeBack());
+        }
+        return !full;
     }
 
     private boolean fits(int most) {
--- a/relay/src/main/java/asterpulley/net/Book.java
+++ b/relay/src/main/java/asterpulley/net/Book.java
@@ -161,7 +161,9 @@
     }
 
     private void answered(Passage passage) {
-        passage.client.linger();
+        if (passage.client != null) {
+            passage.client.linger();
+        }
         leave(passage);
     }
 
--- a/relay/src/main/java/asterpulley/net/Passage.java
+++ b/relay/src/main/java/asterpulley/net/Passage.java
@@ -8,6 +8,7 @@
  * own: the stages act, this only remembers.
  */
 public final class Passage {
+    /** Null where the front has no connection for it, as one that puts tunnels to the module by itself. */
     public final Leg client;
     public final Talk talk;
     public final Asked asked;
@@ -42,7 +43,9 @@
         this.client = client;
         this.asked = asked;
         this.takenAt = takenAt;
-        client.passage = this;
+        if (client != null) {
+            client.passage = this;
+        }
     }
 
     public Failure failure(Failure.Cause cause) {
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -36,6 +36,7 @@
     private Balance balance;
     private Consumer<String> probes;
     private Runnable watch;
+    private Runnable whenListed = () -> { };
 
     public Route(Loop loop, Book book) {
         this.loop = loop;
@@ -106,6 +107,12 @@
         if (!(ctx.getMessage() instanceof Passage passage)) {
             return ctx.getInvokeAction();
         }
+        take(passage);
+        return ctx.getStopAction();
+    }
+
+    /** A tunnel that a front has taken in and that there is room for; what becomes of it, its {@link Talk} is asked. */
+    public void take(Passage passage) {
         passage.id = book.enter(passage);
         if (passage.asked.at() != null) {
             passage.talk.reopen(passage);
@@ -125,7 +132,6 @@
                 passage.overdue = loop.after(budget, () -> overdue(passage));
             }
         }
-        return ctx.getStopAction();
     }
 
     /** Guards against a tunnel that nobody answers: at its client's timeout it is given up, at the latest. */
@@ -224,7 +230,15 @@
     }
 
     public void listed(List<Listed> servers, boolean whole) {
-        tell(() -> list(servers, whole));
+        tell(() -> {
+            list(servers, whole);
+            whenListed.run();
+        });
+    }
+
+    /** Is told whenever news of the list is in force here. */
+    public void whenListed(Runnable then) {
+        whenListed = then;
     }
 
     private void list(List<Listed> servers, boolean whole) {
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -5,26 +5,20 @@
 import asterpulley.decode.Json;
 import asterpulley.door.Door;
 import asterpulley.line.LineTalk;
-import asterpulley.line.Probes;
 import asterpulley.line.Relay;
 import asterpulley.line.Send;
 import asterpulley.line.TakeIn;
 import asterpulley.list.Discovery;
-import asterpulley.net.Admit;
 import asterpulley.net.Book;
-import asterpulley.net.Dialer;
 import asterpulley.net.Listener;
-import asterpulley.net.Lobby;
 import asterpulley.net.Loop;
 import asterpulley.net.Route;
 import asterpulley.net.SocketFilter;
-import asterpulley.routes.Guide;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -32,13 +26,8 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.memory.PooledMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import sun.misc.Signal;
 
 /**
@@ -63,10 +52,10 @@
 
     private Config config;
     private final Loop loop = new Loop();
+    private final Control control;
     private final Book book;
     private final Route route;
     private final Discovery discovery;
-    private final Admit admit;
     private final TCPNIOTransport transport;
     private Listener listener;
     private final CountDownLatch gone = new CountDownLatch(1);
@@ -82,53 +71,36 @@
     /** Decides from now on; nobody is accepted before {@link #open}. {@code folder}: what outlives it; null: nothing. */
     Serve(Config config, Path folder) throws IOException {
         this.config = config;
-        book = new Book(config.settings.profiles.stream().map(p -> p.name).toList());
-        transport = TCPNIOTransportBuilder.newInstance().setName("relay")
-                .setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
-                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("relay").setCorePoolSize(1)
-                        .setMaxPoolSize(1))
-                .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
-                .setReadBufferSize(SocketFilter.BUFFER)
-                .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
+        transport = Control.transport(loop, new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false));
         LineTalk talk = new LineTalk();
-        Lobby lobby = new Lobby(loop, book, talk);
-        route = new Route(loop, book);
-        discovery = new Discovery(config.discovery, config.names, config.known, loop, book, route, transport);
-        farewell = new Farewell(loop, book, route, lobby, this::shut);
+        control = new Control(config, talk, loop, transport);
+        book = control.book;
+        route = control.route;
+        discovery = control.discovery;
+        farewell = new Farewell(loop, book, route, control.lobby, this::shut);
         kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
         operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept);
         door = operators == null ? null : new Door(operators, loop, book);
-        Dialer dialer = new Dialer(config.connectTimeout, transport, loop, book, lobby, discovery::dial);
-        Send send = new Send(loop, book, dialer, route);
+        Send send = new Send(loop, book, control.dialer, route);
         Relay relay = new Relay(loop, book, route, send);
         talk.through(send, relay);
-        Probes probes = new Probes(config.settings, loop, book, dialer, route);
-        SocketFilter sockets = new SocketFilter(transport, loop, book, lobby);
-        admit = new Admit(config.settings, talk, book, lobby, new Random(config.seed));
         limits();
-        send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
-        probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
-        discovery.through(FilterChainBuilder.stateless().add(new TransportFilter()).add(new HttpClientFilter())
-                .add(discovery).build());
-        transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
-                .add(new TakeIn(loop, config.words, talk, book, lobby, () -> !farewell.quiet())).add(admit).add(route).add(relay).build());
+        send.through(FilterChainBuilder.stateless().add(control.sockets).add(send).add(relay).build());
+        transport.setProcessor(FilterChainBuilder.stateless().add(control.sockets)
+                .add(new TakeIn(loop, config.words, talk, book, control.lobby, () -> !farewell.quiet()))
+                .add(control.admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
         loop.handIn(() -> {
-            if (config.tellsOfPools()) {
-                route.narrowedBy(new Guide(config.charter(), loop.now(), book::log, book::count));
-            }
             if (catchesUp()) {
                 discovery.whenCurrent(current::countDown);
             }
-            route.start(config.settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
+            control.start();
             if (operators != null) {
                 operators.start();
             }
-            lobby.start();
             relay.start();
-            probes.start();
             started.countDown();
         });
         try {
@@ -193,7 +165,7 @@
     private void limits() {
         // At an upgrade two processes share the memory.
         book.mostWaiting = (int) (config.memory / (operators == null ? 1 : 2) * FOR_SLOW_READERS / SocketFilter.BUFFER);
-        admit.room(config.sockets - OWN_FILES - (door == null ? 0 : Door.SOCKETS));
+        control.admit.room(config.sockets - OWN_FILES - (door == null ? 0 : Door.SOCKETS));
     }
 
     /**
