--- a/cli/src/test/java/asterpulley/cli/CommandTest.java
+++ b/cli/src/test/java/asterpulley/cli/CommandTest.java
@@ -101,6 +101,23 @@
         assertTrue(out.contains("no run gives the figure credits"), out);
     }
 
+    @Test
+    void aFleetOfHollowRelaysIsCheckedAndPlayed() throws IOException {
+        String fleet = file("fleet.toml", "length_s = 2\nsettle_s = 0.5\nexpect = [\"hollow.bytes_per_s < 0\"]\n[relays]\nreal = 0\n"
+                + "start_within_s = 0.5\n[[size]]\nrelays = 5\nservers = 3\n[[entry]]\nkind = \"change\"\nat_s = 0\nevery_s = 0.5\n");
+        assertEquals(0, run("check", fleet), out);
+        assertTrue(out.contains("a good experiment"), out);
+        Path json = folder.resolve("fleet.json");
+        Path html = folder.resolve("fleet.html");
+        assertEquals(3, run("lab", "run", fleet, "--json", json.toString(), "--html", html.toString()), out);
+        assertTrue(out.contains("SHORT    hollow.bytes_per_s"), out);
+        assertEquals(5, new ObjectMapper().readTree(json.toFile()).get("plays").get(0).get("relays").asInt());
+        assertTrue(Files.readString(html).contains("5 hollow relays"));
+        assertEquals(2, run("lab", "run", fleet, "--on", "model"), out);
+        assertEquals(1, run("check", file("wrong-fleet.toml", "[[size]]\nrelays = 5\n")), out);
+        assertTrue(out.contains("size[0].servers: is missing"), out);
+    }
+
     @Test
     void aRunWritesJsonAndAPageThatNeedsNoNetwork() throws IOException {
         String e = file("e.toml", "on = \"model\"\nlength_s = 3\nexpect = [\"rules.broken = 0\"]\nbaselines = [\"random\"]\n");
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetFigures.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetFigures.java
@@ -12,7 +12,8 @@
             "cpu_percent", "heap_mb");
     /** What hollow relays are held against the real ones in; {@code against.} goes before. */
     static final List<String> AGAINST = List.of("list_calls", "list_bytes", "probes", "messages");
-    private static final List<String> OTHERS = List.of("hollow.thread_cpu_percent", "hollow.probe_connections", "service.list_calls_per_s", "service.list_bytes_per_s",
+    private static final List<String> OTHERS = List.of("hollow.thread_cpu_percent", "hollow.start_probes",
+            "hollow.start_list_bytes", "hollow.probe_connections", "service.list_calls_per_s", "service.list_bytes_per_s",
             "service.whole_bytes", "inforce.p50_ms", "inforce.p99_ms", "inforce.last_ms", "inforce.missing", "inforce.count",
             "decision.p50_us", "decision.p99_us", "tunnels.opened_share", "worst.calls_per_s", "worst.connects_per_s",
             "worst.bytes_per_s", "worst.probes_per_s", "whole_asked", "run.late_share");
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
@@ -96,7 +96,8 @@
                 callers.add(Integer.toString(h));
             }
             servers.add(new Child(folder, "servers" + k, ServersMain.class, Told.map("here", here.getHostAddress(),
-                    "callers", callers, "servers", outcome.size.servers(), "zero", zero, "reported", plan.reported), 256));
+                    "callers", callers, "servers", outcome.size.servers(), "zero", zero, "reported", plan.reported,
+                    "setup", plan.setup), 256));
         }
         for (Child c : servers) {
             await(c).fields().forEachRemaining(e -> {
@@ -398,6 +399,8 @@
         } else {
             put(kind, "cpu_percent", (used(until, "process_cpu") - used(from, "process_cpu")) / per * 100);
             put(kind, "thread_cpu_percent", (used(until, "thread_cpu") - used(from, "thread_cpu")) / per * 100);
+            put(kind, "start_probes", asked(from.servers, Tally.What.CALLS, false) / many);
+            put(kind, "start_list_bytes", (double) a.get(Tally.What.BYTES_TO) / many);
             put(kind, "probe_connections", asked(until.servers, Tally.What.CONNECTS, false) / many);
         }
     }
--- a/lab/src/main/java/asterpulley/lab/fleet/Room.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/Room.java
@@ -11,9 +11,9 @@
     private static final int OWN = 3;
     private static final int MOST_PROCESSES = 40;
     /** In a process: what the JVM itself takes, and beside its heap. */
-    private static final double JVM_MB = 150, SERVERS_MB = 350, DRIVER_MB = 700, REAL_MB = 120;
+    private static final double JVM_MB = 120, SERVERS_MB = 220, DRIVER_MB = 600, REAL_MB = 120;
     /** A relay's own, and what it keeps of each server; with room for what is not yet collected. */
-    private static final double RELAY_MB = 0.6, SERVER_MB = 0.0016;
+    private static final double RELAY_MB = 0.45, SERVER_MB = 0.003;
 
     static Room of(FleetPlan plan, FleetPlan.Size size, long descriptors, double memoryMb) {
         double most = descriptors * OF_DESCRIPTORS;
--- a/lab/src/main/java/asterpulley/lab/fleet/ServersMain.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/ServersMain.java
@@ -25,7 +25,7 @@
 
 /**
  * A process of stand-in servers: each listens at one address for every process of relays, so that it is known who asks,
- * reports a load that never changes and opens whatever it is sent. Told {@code gone} and {@code back} with servers by
+ * reports a load that never changes and opens whatever it is sent after the same time. Told {@code gone} and {@code back} with servers by
  * number, {@code begin}, {@code count} and {@code end}. It ends with who started it. It must count all that it is asked and decide nothing.
  */
 final class ServersMain {
@@ -35,12 +35,14 @@
     private final Pump pump = new Pump();
     private final InetAddress here;
     private final String report;
+    private final double setup;
     private final List<Caller> callers = new ArrayList<>();
     private final Queue<String> orders = new ConcurrentLinkedQueue<>();
 
     private ServersMain(Map<String, Object> told) throws IOException {
         here = InetAddress.getByName(Json.text(told, "here"));
         report = String.format(Locale.ROOT, "PONG x0=%.5f", Json.number(told, "reported", 0));
+        setup = Json.number(told, "setup", 0);
         for (Object name : Json.list(told, "callers")) {
             callers.add(new Caller((String) name, (int) Json.number(told, "servers", 0), Json.whole(told, "zero")));
         }
@@ -105,7 +107,7 @@
                 conn.say(report);
             } else if (line.startsWith("OPEN ")) {
                 of.tally.add(Tally.What.OPENINGS, 1);
-                conn.say("UP s" + server);
+                pump.after(setup, () -> conn.say("UP s" + server));
             } else {
                 conn.say("ok " + line);
             }
