--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -2,33 +2,24 @@
 
 import static asterpulley.net.Addresses.text;
 
-import asterpulley.Settings;
 import asterpulley.decode.Json;
 import asterpulley.door.Door;
 import asterpulley.line.LineTalk;
-import asterpulley.line.Probes;
 import asterpulley.line.Relay;
 import asterpulley.line.Send;
 import asterpulley.line.TakeIn;
 import asterpulley.line.Words;
 import asterpulley.list.Discovery;
-import asterpulley.net.Admit;
 import asterpulley.net.Book;
-import asterpulley.net.Dialer;
 import asterpulley.net.Listener;
-import asterpulley.net.Lobby;
 import asterpulley.net.Loop;
 import asterpulley.net.Route;
 import asterpulley.net.SocketFilter;
-import asterpulley.routes.Charter;
-import asterpulley.routes.Guide;
-import asterpulley.settings.InForce;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -38,9 +29,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.memory.PooledMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import sun.misc.Signal;
 
 /**
@@ -65,10 +53,10 @@
 
     private Config config;
     private final Loop loop = new Loop();
+    private final Control control;
     private final Book book;
     private final Route route;
     private final Discovery discovery;
-    private final Admit admit;
     private final TCPNIOTransport transport;
     private Listener listener;
     private final CountDownLatch gone = new CountDownLatch(1);
@@ -78,81 +66,46 @@
     private final Door door;
     private final Kept kept;
     private final CountDownLatch current = new CountDownLatch(1), settingsHeard = new CountDownLatch(1);
-    private final Dialer dialer;
-    private final Probes probes;
-    private final TakeIn takeIn;
-    /** What a service tells, and the watch on it; null where none is told: then those of the file count, from a start. */
-    private final InForce told;
-    private final SettingsWatch watch;
-    private Settings settings;
-    /** Of all that is taken and not answered, also by settings that were in force until now. */
-    private double longestTimeout;
+    /** Null where no service tells settings: then those of the file count, from a start. */
+    private final SettingsWatch settings;
     /** Guarded by {@link #gone}, like the listener until it is open. */
     private boolean shut;
 
     /** Decides from now on; nobody is accepted before {@link #open}. {@code folder}: what outlives it; null: nothing. */
     Serve(Config config, Path folder) throws IOException {
         this.config = config;
-        kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
-        told = config.settingsService == null ? null
-                : new InForce(config.told(), all -> this.config.charter(all), loop.now());
-        if (told != null) {
-            SettingsWatch.restore(told, kept);
-        }
-        settings = told == null ? config.settings : told.settings();
-        Map<String, Object> names = told == null ? config.told() : told.effective();
-        longestTimeout = longestTimeout();
-        book = new Book(settings.profiles.stream().map(p -> p.name).toList());
-        transport = TCPNIOTransportBuilder.newInstance().setName("relay")
-                .setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
-                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("relay").setCorePoolSize(1)
-                        .setMaxPoolSize(1))
-                .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
-                .setReadBufferSize(SocketFilter.BUFFER)
-                .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false)).build();
+        transport = Control.transport(loop, new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false));
         LineTalk talk = new LineTalk();
-        Lobby lobby = new Lobby(loop, book, talk);
-        route = new Route(loop, book);
-        discovery = new Discovery(config.discovery, !config.settings.listMustBeAsked, config.names, config.known, loop, book,
-                route, transport);
-        farewell = new Farewell(loop, book, route, lobby, this::shut);
-        watch = told == null ? null : new SettingsWatch(config.settingsService, told, this::settingsChanged, loop, book,
-                new Random(config.seed + 1), transport, kept);
-        operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept, watch);
+        kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
+        control = new Control(config, kept, talk, loop, transport);
+        book = control.book;
+        route = control.route;
+        discovery = control.discovery;
+        settings = control.settings;
+        farewell = new Farewell(loop, book, route, control.lobby, this::shut);
+        operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept, settings);
         door = operators == null ? null : new Door(operators, loop, book);
-        dialer = new Dialer(Config.connectTimeout(names), transport, loop, book, lobby, discovery::dial);
-        Send send = new Send(loop, book, dialer, route);
+        Send send = new Send(loop, book, control.dialer, route);
         Relay relay = new Relay(loop, book, route, send);
         talk.through(send, relay);
-        probes = new Probes(settings, loop, book, dialer, route);
-        SocketFilter sockets = new SocketFilter(transport, loop, book, lobby);
-        admit = new Admit(settings, talk, book, lobby, new Random(config.seed));
-        takeIn = new TakeIn(loop, new Words(names), talk, book, lobby, () -> !farewell.quiet());
         limits();
-        send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
-        probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
-        transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
-                .add(takeIn).add(admit).add(route).add(relay).build());
+        send.through(FilterChainBuilder.stateless().add(control.sockets).add(send).add(relay).build());
+        TakeIn takeIn = new TakeIn(loop, new Words(control.names()), talk, book, control.lobby, () -> !farewell.quiet());
+        control.whenNamesChange(names -> takeIn.words(new Words(names)));
+        transport.setProcessor(FilterChainBuilder.stateless().add(control.sockets).add(takeIn)
+                .add(control.admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
         loop.handIn(() -> {
-            if (config.tellsOfPools()) {
-                route.narrowedBy(new Guide(config.charter(names), loop.now(), book::log, book::count));
-            }
             if (catchesUp()) {
                 discovery.whenCurrent(current::countDown);
             }
-            if (watch != null) {
-                watch.start(settingsHeard::countDown);
-            }
-            route.start(settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
+            control.start(settingsHeard::countDown);
             if (operators != null) {
                 operators.start();
             }
-            lobby.start();
             relay.start();
-            probes.start();
             started.countDown();
         });
         try {
@@ -179,7 +132,7 @@
         }
         try {
             long until = System.nanoTime() + (long) (CATCH_UP * 1e9);
-            if (watch != null) {
+            if (settings != null) {
                 settingsHeard.await(until - System.nanoTime(), TimeUnit.NANOSECONDS);
             }
             if (catchesUp() && !current.await(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
@@ -188,8 +141,8 @@
         } catch (InterruptedException e) {
             throw new IOException("interrupted at the start");
         }
-        if (watch != null && settingsHeard.getCount() > 0) {
-            LOG.info("no news of the settings in " + CATCH_UP + " s, serving by " + told.version());
+        if (settings != null && settingsHeard.getCount() > 0) {
+            LOG.info("no news of the settings in " + CATCH_UP + " s, serving by " + settings.inForce().version());
         }
         synchronized (gone) {
             if (shut) {
@@ -221,30 +174,10 @@
         }
     }
 
-    /** Others are in force: what reads them has them all when this returns, between two events. */
-    private void settingsChanged() {
-        Map<String, Object> all = told.effective();
-        Words words = new Words(all);
-        Charter charter = config.charter(all);
-        settings = told.settings();
-        book.profiles(settings.profiles.stream().map(p -> p.name).toList());
-        takeIn.words(words);
-        admit.settings(settings);
-        probes.settings(settings);
-        dialer.connectTimeout(Config.connectTimeout(all));
-        route.settings(settings, charter);
-        loop.after(longestTimeout, () -> longestTimeout = longestTimeout());
-        longestTimeout = Math.max(longestTimeout, longestTimeout());
-    }
-
-    private double longestTimeout() {
-        return settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0);
-    }
-
     private void limits() {
         // At an upgrade two processes share the memory.
         book.mostWaiting = (int) (config.memory / (operators == null ? 1 : 2) * FOR_SLOW_READERS / SocketFilter.BUFFER);
-        admit.room(config.sockets - OWN_FILES - (door == null ? 0 : Door.SOCKETS));
+        control.admit.room(config.sockets - OWN_FILES - (door == null ? 0 : Door.SOCKETS));
     }
 
     /**
@@ -273,13 +206,14 @@
                 + (config.needsStart(anew) ? "; changes of name, listen and settings wait for a restart" : ""));
         book.count("configurations");
         if (anew.tellsOfPools() != (route.guide() != null) || anew.tellsOfPools() && !route.guide().change(
-                anew.charter(told == null ? anew.told() : told.effective()), loop.now())) {
+                anew.charter(settings == null ? anew.told() : control.names()), loop.now())) {
             LOG.warning("pools wait for a restart: whether they are told, their names and this relay's own count from a start");
         }
         config = anew;
         limits();
-        if (watch != null && anew.settingsService != null) {
-            watch.moveTo(anew.settingsService);
+        control.reread(anew);
+        if (settings != null && anew.settingsService != null) {
+            settings.moveTo(anew.settingsService);
         }
         if (anew.discovery == null) {
             discovery.tell(anew.known);
@@ -376,7 +310,7 @@
             if (succeeded) {
                 shut();
             }
-            farewell.leave(longestTimeout, succeeded, gone::countDown);
+            farewell.leave(control.longestTimeout(), succeeded, gone::countDown);
         });
     }
 
--- a/relay/src/test/java/asterpulley/serve/SettingsTest.java
+++ b/relay/src/test/java/asterpulley/serve/SettingsTest.java
@@ -121,9 +121,7 @@
         assertEquals("UP r1", standing.line());
         End under = client("pay", 2000);
         End setup = b.taken();
-        while (way.calls.stream().noneMatch(c -> c.contains("index=10"))) {
-            Thread.onSpinWait();
-        }
+        called("index=10&");
         Runnable on = pause();
         int told = way.bodies.size();
         service.change(map("profiles", map("pay", null, "bulk", profile("read_like"))));
@@ -154,18 +152,24 @@
     void aFirstStartWaitsALittleForItsSettingsAndSoDoesOneWithADamagedFile() throws Exception {
         service(1, 1, document("chat"));
         Path kept = Files.createDirectories(folder.resolve("kept"));
-        Files.writeString(kept.resolve("asterpulley-n1.settings"), "{\"epoch\":9,\"seq\":9,\"since\":1.0,\"settings\":{\"siblings\":");
-        way.cut();
-        background(() -> {
-            // It fails a first time.
-            while (way.refused == 0) {
-                Thread.onSpinWait();
-            }
-            way.mend();
-        });
-        start(kept, 1000, new Backend().entry("s1", "up"));
-        assertEquals(1, figure("settings_version"));
-        assertEquals(1, figure("settings_failures_total"));
+        for (String damaged : List.of("{\"epoch\":9,\"seq\":9,\"since\":1.0,\"settings\":{\"siblings\":",
+                "{\"epoch\":9,\"seq\":9,\"settings\":{\"siblings\":3}}")) {
+            Files.writeString(kept.resolve("asterpulley-n1.settings"), damaged);
+            way.refused = 0;
+            way.cut();
+            background(() -> {
+                // It fails a first time.
+                while (way.refused == 0) {
+                    Thread.onSpinWait();
+                }
+                way.mend();
+            });
+            start(kept, 1000, new Backend().entry("s1", "up"));
+            assertEquals(1, figure("settings_version"));
+            assertEquals(1, figure("settings_epoch"));
+            assertEquals(1, figure("settings_failures_total"));
+            serve.kill();
+        }
     }
 
     @Test
@@ -311,11 +315,12 @@
         assertTrue(took > 0.8 && took < 13, "three failures, later each time: " + took);
         assertEquals(2, figure("settings_failures_total"));
         // One that answers at once, and with nothing: it does not wait, so it is not asked at once again.
-        int before = way.calls.size();
+        called("index=1&");
         for (int i = 0; i < 50; i++) {
-            way.instead.add("{\"epoch\":1,\"seq\":1,\"whole\":false,\"changes\":[]}");
+            way.instead.add("{\"epoch\":1,\"seq\":2,\"whole\":false,\"changes\":[]}");
         }
         service.change(map("siblings", 2));
+        inForce(2);
         await("settings_same", 2);
         long from = System.nanoTime();
         long calls = counted("settings_calls");
@@ -324,17 +329,22 @@
         }
         assertTrue(counted("settings_calls") - calls <= 2, "a second later: " + (counted("settings_calls") - calls));
         way.instead.clear();
-        assertTrue(inForce(2) < 4);
-        assertTrue(way.calls.size() - before < 20);
+        service.change(map("siblings", 3));
+        assertTrue(inForce(3) < 4.5, "the longest pause is 3.75 s");
         // A mute one, from the next call on: that is given up before a change is late.
-        while (way.calls.stream().noneMatch(c -> c.contains("index=2&"))) {
-            Thread.onSpinWait();
-        }
+        called("index=3&");
         way.instead.add("");
-        service.change(map("siblings", 3));
-        inForce(3);
         service.change(map("siblings", 4));
-        assertTrue(inForce(4) < 13, "a change has 13 s");
+        inForce(4);
+        service.change(map("siblings", 5));
+        assertTrue(inForce(5) < 13, "a change has 13 s");
+    }
+
+    /** Waits until such a call is at the service. */
+    private void called(String part) {
+        while (way.calls.stream().noneMatch(call -> call.contains(part))) {
+            Thread.onSpinWait();
+        }
     }
 
     @Test
