--- a/lab/src/main/java/asterpulley/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetPlan.java
@@ -48,6 +48,8 @@
     /** Everything in half the time. */
     public void halve() {
         length /= 2;
+        settle /= 2;
+        startWithin /= 2;
         for (Entry e : entries) {
             e.at /= 2;
             e.lasts /= 2;
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
@@ -35,6 +35,8 @@
     private static final double MB = 1 << 20;
     /** What was changed so long before the end should be in force by then. */
     private static final double SETTLED = 1;
+    /** What is changed at an entry's end is, within this, part of what has to be told after it. */
+    private static final double AT_ONCE = 0.1;
     private static final String REAL = "real";
 
     private final FleetPlan plan;
@@ -498,7 +500,7 @@
             outcome.figures.merge(to + "whole_asked", (double) whole.subList(first, Math.min(whole.size(), last)).stream()
                     .mapToLong(l -> l).sum(), Double::sum);
             long from = start + (long) (a.from() * 1e9);
-            outcome.figures.merge(to + "told_s", inForce.told(inForce.versionAt(from), from), Math::max);
+            outcome.figures.merge(to + "told_s", inForce.told(inForce.versionAt(from + (long) (AT_ONCE * 1e9)), from), Math::max);
         }
     }
 
