Fleet experiments: settings that change while hollow relays run

Change: kind = "settings" on the timetable, [settings] told, Revisions (the document and its history), figures settings.*; the list's stand-in serves either, ListService has a Source.

FleetTest: with told = false settings.missing falls SHORT; a whole copy at a start and none besides.

--- a/lab/src/main/java/asterpulley/lab/fleet/Catalog.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/Catalog.java
@@ -58,7 +58,7 @@
     }
 
     /** As those are told it that reach servers so; it keeps what it wrote until the list changes. */
-    final class Page {
+    final class Page implements ListService.Source {
         private final IntFunction<String> dials;
         private final Map<Long, byte[]> written = new HashMap<>();
         private long of;
@@ -67,11 +67,18 @@
             this.dials = dials;
         }
 
-        byte[] whole() {
+        @Override
+        public long version() {
+            return version;
+        }
+
+        @Override
+        public byte[] whole() {
             return written(WHOLE);
         }
 
-        byte[] since(long seen) {
+        @Override
+        public byte[] since(long seen) {
             return written(Math.max(0, seen));
         }
 
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetFigures.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetFigures.java
@@ -17,6 +17,9 @@
             "service.whole_bytes", "inforce.p50_ms", "inforce.p99_ms", "inforce.last_ms", "inforce.missing", "inforce.count",
             "decision.p50_us", "decision.p99_us", "tunnels.opened_share", "worst.calls_per_s", "worst.connects_per_s",
             "worst.bytes_per_s", "worst.probes_per_s", "whole_asked", "run.late_share");
+    /** Where settings are changed: from a change until it is in force, and the bytes of a relay and second, both ways. */
+    private static final List<String> SETTINGS = List.of("settings.p50_ms", "settings.p99_ms", "settings.last_ms",
+            "settings.count", "settings.missing", "settings.bytes_per_s", "settings.whole_asked");
     private static final List<String> AFTER = List.of("calls_worst", "connects_worst", "bytes_worst", "whole_asked", "told_s");
     /** A line is fitted through these over the sizes. */
     static final List<String> FITTED = List.of("hollow.list_calls_per_s", "hollow.list_bytes_in_per_s", "hollow.probes_per_s",
@@ -39,6 +42,9 @@
             A_RELAY.forEach(f -> names.add("real." + f));
             AGAINST.forEach(f -> names.add("against." + f));
         }
+        if (plan.changesSettings()) {
+            names.addAll(SETTINGS);
+        }
         for (FleetPlan.Entry e : plan.entries) {
             AFTER.forEach(f -> names.add("after." + e.kind.word() + "." + f));
         }
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetPlan.java
@@ -18,7 +18,7 @@
 
     /** What an entry of the timetable does. Whoever adds a watched thing adds its change here and in {@link Schedule}. */
     public enum Kind {
-        CHANGE, ZONE_SERVERS, ZONE_RELAYS, LIST_CUT, LIST_LATE, ROLL;
+        CHANGE, SETTINGS, ZONE_SERVERS, ZONE_RELAYS, LIST_CUT, LIST_LATE, ROLL;
 
         public String word() {
             return name().toLowerCase().replace('_', '-');
@@ -39,6 +39,8 @@
     public int zones = 11, real = 2, probeConnections, sockets = 8192, memory = 64;
     /** Relays start with the list as of their process's start; else with none, and ask for the whole. */
     public boolean known = true;
+    /** Relays are told who tells settings; else theirs are those of their start. */
+    public boolean settingsTold = true;
     public double tunnels = 0.5, lifetime = 20, setup = 0.02, reported = 0.4;
     public double probeFee = 0.01, crossingFee = 0.02, deemedTold = 6;
     public final List<Size> sizes = new ArrayList<>();
@@ -57,6 +59,10 @@
         }
     }
 
+    boolean changesSettings() {
+        return entries.stream().anyMatch(e -> e.kind == Kind.SETTINGS);
+    }
+
     public String zone(int number) {
         return "z" + (number % zones + 1);
     }
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetReader.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetReader.java
@@ -39,6 +39,7 @@
         Part fees = root.part("fees");
         plan.crossingFee = fees.number("crossing", plan.crossingFee, 0, 1);
         plan.probeFee = fees.number("probe", plan.probeFee, 0, 1);
+        plan.settingsTold = root.part("settings").flag("told", true);
         Part list = root.part("list");
         plan.toldLate = list.number("told_s", plan.toldLate, 0, 60);
         plan.deemedTold = list.number("deemed_told_s", plan.deemedTold, 0.5, 600);
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
@@ -37,7 +37,7 @@
     private static final double SETTLED = 1;
     /** What is changed at an entry's end is, within this, part of what has to be told after it. */
     private static final double AT_ONCE = 0.1;
-    private static final String REAL = "real";
+    private static final String REAL = "real", LIST = "instances";
 
     private final FleetPlan plan;
     private final Room room;
@@ -52,8 +52,10 @@
     private final List<RealClients> clients = new ArrayList<>();
     private final List<ListService> lists = new ArrayList<>();
     private final Map<String, String[]> dials = new HashMap<>();
-    private final Tally hollowList = new Tally(zero), realList = new Tally(zero);
-    private final InForce inForce = new InForce();
+    private final Tally hollowList = new Tally(zero), realList = new Tally(zero), settingsTold = new Tally(zero);
+    private final InForce inForce = new InForce(), settingsInForce = new InForce();
+    private final Revisions revisions = new Revisions();
+    private final List<ListService> settings = new ArrayList<>();
     private final FleetOutcome outcome;
     /** How often each child was asked for an answer. */
     private final Map<Child, Integer> asked = new HashMap<>();
@@ -119,10 +121,14 @@
     private void hollows() throws IOException {
         for (int h = 0; h < room.hollowProcesses(); h++) {
             Catalog.Page page = page(Integer.toString(h));
-            ListService list = new ListService(pump, catalog, page, hollowList, here);
+            ListService list = new ListService(pump, page, LIST, hollowList, here);
             lists.add(list);
             Map<String, Object> config = plan.config("h", 0, outcome.size, "127.0.0.1:1", list.address(),
                     plan.known ? page.list() : Catalog.none());
+            if (plan.settingsTold && plan.changesSettings()) {
+                settings.add(new ListService(pump, revisions, "settings", settingsTold, here));
+                config.put("settings_service", settings.get(h).address());
+            }
             hollows.add(new Child(folder, "hollow" + h, HollowMain.class, Told.map("config", config, "zones", plan.zones,
                     "seed", plan.seed, "tunnels", plan.tunnels, "lifetime", plan.lifetime, "setup", plan.setup, "timeout", 2,
                     "sights", folder.resolve("sights" + h).toString()), room.heapMb()));
@@ -138,7 +144,7 @@
             return;
         }
         Catalog.Page page = page(REAL);
-        ListService list = new ListService(pump, catalog, page, realList, here);
+        ListService list = new ListService(pump, page, LIST, realList, here);
         lists.add(list);
         for (int r = 0; r < plan.real; r++) {
             InetSocketAddress at = new InetSocketAddress(here, 9_400 + r);
@@ -203,6 +209,10 @@
                     changes(step.who(), catalog.health(s) == Catalog.Health.UP ? Catalog.Health.DRAINING : Catalog.Health.UP,
                             false, late);
                 }
+                case SETTINGS -> {
+                    settingsInForce.made(revisions.change(), System.nanoTime(), true);
+                    settings.forEach(ListService::news);
+                }
                 case SERVERS_GONE -> {
                     order("gone", step.who());
                     changes(step.who(), Catalog.Health.REMOVED, false, plan.toldLate + late);
@@ -355,6 +365,7 @@
         f.put("inforce.last_ms", inForce.us.getMaxValue() / 1e3);
         f.put("inforce.count", (double) inForce.us.getTotalCount());
         f.put("inforce.missing", (double) inForce.missing);
+        settingsFigures(end);
         after();
         double most = own;
         for (JsonNode n : ofServers) {
@@ -374,6 +385,24 @@
         }
     }
 
+    /** From a change until it is in force at each relay, and what one costs in bytes; without such changes nothing. */
+    private void settingsFigures(long end) {
+        if (plan.changesSettings()) {
+            settingsInForce.work(end - (long) (SETTLED * 1e9));
+            Histogram us = settingsInForce.us;
+            Map<String, Double> f = outcome.figures;
+            f.put("settings.p50_ms", us.getValueAtPercentile(50) / 1e3);
+            f.put("settings.p99_ms", us.getValueAtPercentile(99) / 1e3);
+            f.put("settings.last_ms", us.getMaxValue() / 1e3);
+            f.put("settings.count", (double) us.getTotalCount());
+            f.put("settings.missing", (double) settingsInForce.missing);
+            double seconds = (System.nanoTime() - zero) / 1e9;
+            f.put("settings.bytes_per_s", (settingsTold.all(Tally.What.BYTES_FROM) + settingsTold.all(Tally.What.BYTES_TO))
+                    / seconds / outcome.size.relays());
+            f.put("settings.whole_asked", (double) settingsTold.all(Tally.What.WHOLE));
+        }
+    }
+
     private static double sum(List<JsonNode> of, ToDoubleFunction<JsonNode> what) {
         return of.stream().mapToDouble(what).sum();
     }
@@ -480,7 +509,13 @@
         try (DataInputStream in = new DataInputStream(new BufferedInputStream(Files.newInputStream(file), 1 << 16))) {
             while (true) {
                 InForce.What what = InForce.What.values()[in.readByte()];
-                inForce.saw(new InForce.Sight(in.readInt(), what, in.readLong(), in.readLong()));
+                InForce.Sight sight = new InForce.Sight(in.readInt(), what, in.readLong(), in.readLong());
+                if (what != InForce.What.SETTINGS_CAME_TO) {
+                    inForce.saw(sight);
+                }
+                if (what != InForce.What.CAME_TO) {
+                    settingsInForce.saw(sight.ofSettings());
+                }
             }
         } catch (EOFException e) {
             // All of it is read.
--- a/lab/src/main/java/asterpulley/lab/fleet/Hollow.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/Hollow.java
@@ -68,6 +68,8 @@
         transport = Control.transport(loop, shared.memory);
         control = Control.of(config, this, loop, transport);
         control.route.whenListed(() -> shared.sights.saw(number, InForce.What.CAME_TO, control.listVersion()));
+        control.whenSettingsInForce(() -> shared.sights.saw(number, InForce.What.SETTINGS_CAME_TO,
+                control.settings().version().seq()));
         transport.start();
         loop.handIn(() -> {
             thread = Thread.currentThread().getId();
--- a/lab/src/main/java/asterpulley/lab/fleet/InForce.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/InForce.java
@@ -8,14 +8,19 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Works out when changes of the list were in force at relays, from when each was made and when each relay came to a
+ * Works out when changes of the list, or of the settings, were in force at relays, from when each was made and when each relay came to a
  * version. All moments are of the machine's one steady clock, in nanoseconds. Without input or output.
  */
 final class InForce {
-    enum What { STARTED, STOPPED, CAME_TO }
+    enum What { STARTED, STOPPED, CAME_TO, SETTINGS_CAME_TO }
 
     /** A relay started or stopped, or came to this version. */
     record Sight(int relay, What what, long version, long at) {
+        /** The same of the settings, of which a relay that starts has none that were told. */
+        Sight ofSettings() {
+            return new Sight(relay, what == What.SETTINGS_CAME_TO ? What.CAME_TO : what,
+                    what == What.SETTINGS_CAME_TO ? version : 0, at);
+        }
     }
 
     private record Made(long at, boolean counts) {
--- a/lab/src/main/java/asterpulley/lab/fleet/ListService.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/ListService.java
@@ -12,8 +12,8 @@
 import java.util.Set;
 
 /**
- * The service of the server list towards one process of relays, at an address of its own: many callers, each with a call
- * that waits. It must count whatever it hears and says, and tell only what the catalog knows.
+ * The service of the server list, or of the settings, towards one process of relays, at an address of its own: many
+ * callers, each with a call that waits. It must count whatever it hears and says, and tell only what its source knows.
  */
 final class ListService implements ListStandIn.Service {
     /** So many are answered before sockets and timers have their turn. */
@@ -21,21 +21,29 @@
     private static final Runnable NOBODY = () -> { };
 
     private final Pump pump;
-    private final Catalog catalog;
-    private final Catalog.Page page;
+    private final Source source;
     private final Tally tally;
     private final Set<ListStandIn> callers = new LinkedHashSet<>();
     private final InetSocketAddress address;
     private boolean down;
 
-    ListService(Pump pump, Catalog catalog, Catalog.Page page, Tally tally, InetAddress here) throws IOException {
+    /** What is told: bodies, the same for all who are at one version. */
+    interface Source {
+        long version();
+
+        byte[] whole();
+
+        byte[] since(long version);
+    }
+
+    /** {@code watched}: what is called for, as in {@link ListStandIn}. */
+    ListService(Pump pump, Source source, String watched, Tally tally, InetAddress here) throws IOException {
         this.pump = pump;
-        this.catalog = catalog;
-        this.page = page;
+        this.source = source;
         this.tally = tally;
         address = pump.listen(new InetSocketAddress(here, 0), conn -> {
             tally.add(Tally.What.CONNECTS, 1);
-            ListStandIn caller = new ListStandIn(pump, this);
+            ListStandIn caller = new ListStandIn(pump, this, watched);
             callers.add(caller);
             return caller;
         }).address;
@@ -52,18 +60,18 @@
 
     @Override
     public long version() {
-        return catalog.version();
+        return source.version();
     }
 
     @Override
     public ListStandIn.Answer whole() {
         tally.add(Tally.What.WHOLE, 1);
-        return new ListStandIn.Answer(page.whole(), NOBODY);
+        return new ListStandIn.Answer(source.whole(), NOBODY);
     }
 
     @Override
     public ListStandIn.Answer since(long version) {
-        return new ListStandIn.Answer(page.since(version), NOBODY);
+        return new ListStandIn.Answer(source.since(version), NOBODY);
     }
 
     @Override
--- /dev/null
+++ b/lab/src/main/java/asterpulley/lab/fleet/Revisions.java
@@ -0,0 +1,49 @@
+package asterpulley.lab.fleet;
+
+import asterpulley.lab.plan.Told;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The settings as their service has them: a document and every change of it, each a version. Callers that are at one
+ * version are told the same bytes, which are written once. Without input or output.
+ */
+final class Revisions implements ListService.Source {
+    private static final long EPOCH = 1;
+
+    private final List<Object> patches = new ArrayList<>();
+    private final Map<Long, byte[]> written = new HashMap<>();
+    private Map<String, Object> document = Map.of();
+
+    /** Before the first change there is one version, of nothing told. */
+    @Override
+    public long version() {
+        return 1 + patches.size();
+    }
+
+    /** Another limit; the version that has it. */
+    long change() {
+        document = Told.map("limits", Told.map("maxRetryAfterMs", 1000 + patches.size()));
+        patches.add(document);
+        written.clear();
+        return version();
+    }
+
+    @Override
+    public byte[] whole() {
+        return Catalog.json(Told.map("epoch", EPOCH, "seq", version(), "whole", true, "settings", document));
+    }
+
+    @Override
+    public byte[] since(long seen) {
+        return written.computeIfAbsent(seen, from -> {
+            List<Object> changes = new ArrayList<>();
+            for (long v = Math.max(1, from); v < version(); v++) {
+                changes.add(Told.map("seq", v + 1, "patch", patches.get((int) v - 1)));
+            }
+            return Catalog.json(Told.map("epoch", EPOCH, "seq", version(), "whole", false, "changes", changes));
+        });
+    }
+}
--- a/lab/src/main/java/asterpulley/lab/fleet/Schedule.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/Schedule.java
@@ -10,7 +10,7 @@
  * looked at. Without input or output; the seed draws, never the run.
  */
 final class Schedule {
-    enum Act { CHANGE, SERVERS_GONE, SERVERS_BACK, RELAYS_GONE, RELAYS_BACK, LIST_DOWN, LIST_UP, LATE }
+    enum Act { CHANGE, SETTINGS, SERVERS_GONE, SERVERS_BACK, RELAYS_GONE, RELAYS_BACK, LIST_DOWN, LIST_UP, LATE }
 
     /** One thing that is done; {@code who}: servers or relays by number, {@code by}: seconds of delay. */
     record Step(double at, Act act, List<Integer> who, double by) {
@@ -43,7 +43,7 @@
     }
 
     private static boolean disturbs(FleetPlan.Entry e) {
-        return e.kind != FleetPlan.Kind.CHANGE && e.kind != FleetPlan.Kind.LIST_LATE;
+        return e.kind != FleetPlan.Kind.CHANGE && e.kind != FleetPlan.Kind.SETTINGS && e.kind != FleetPlan.Kind.LIST_LATE;
     }
 
     private void add(FleetPlan plan, FleetPlan.Size size, FleetPlan.Entry e, Random random) {
@@ -54,6 +54,11 @@
                     steps.add(new Step(at, Act.CHANGE, List.of(random.nextInt(size.servers())), 0));
                 }
             }
+            case SETTINGS -> {
+                for (double at = e.at; at < Math.min(end, plan.length); at += e.every) {
+                    steps.add(new Step(at, Act.SETTINGS, List.of(), 0));
+                }
+            }
             case ZONE_SERVERS -> pair(plan, e, Act.SERVERS_GONE, Act.SERVERS_BACK, inZone(plan, size.servers(), e.zone));
             case ZONE_RELAYS -> pair(plan, e, Act.RELAYS_GONE, Act.RELAYS_BACK, inZone(plan, size.relays(), e.zone));
             case LIST_CUT -> pair(plan, e, Act.LIST_DOWN, Act.LIST_UP, List.of());
--- a/lab/src/main/java/asterpulley/lab/sock/ListStandIn.java
+++ b/lab/src/main/java/asterpulley/lab/sock/ListStandIn.java
@@ -8,8 +8,8 @@
 import java.util.regex.Pattern;
 
 /**
- * The words of the service of the server list towards one caller: reads its calls, lets one wait for news and answers.
- * It must tell only what its service knows.
+ * The words of the service of the server list, or of another thing that relays watch, towards one caller: reads its
+ * calls, lets one wait for news and answers. It must tell only what its service knows.
  */
 public final class ListStandIn implements Conn.Ear {
     /** What is told, and who hears of it that it was. */
@@ -37,20 +37,27 @@
     public record Answer(byte[] body, Runnable told) {
     }
 
-    private static final Pattern CALL = Pattern.compile("GET /registry/instances(?:\\?index=([0-9]+)&wait=([0-9]+))? HTTP/1.1");
+    private static final String LIST = "instances";
     private static final byte[] NOTHING = "{}".getBytes(StandardCharsets.ISO_8859_1);
     private static final int LINE_END = 2;
 
     private final Pump pump;
     private final Service service;
+    private final Pattern calls;
     private String call;
     private Conn waiting;
     private long since;
-    private int calls, heard;
+    private int called, heard;
 
     public ListStandIn(Pump pump, Service service) {
+        this(pump, service, LIST);
+    }
+
+    /** {@code watched}: what is called for, behind {@code /registry/}. */
+    public ListStandIn(Pump pump, Service service, String watched) {
         this.pump = pump;
         this.service = service;
+        calls = Pattern.compile("GET /registry/" + watched + "(?:\\?index=([0-9]+)&wait=([0-9]+)(?:&epoch=[0-9]+)?)? HTTP/1.1");
     }
 
     /** For a service that has an address for each caller. */
@@ -64,9 +71,9 @@
         if (line.startsWith("GET ")) {
             call = line;
         } else if (line.isEmpty() && call != null) {
-            Matcher m = CALL.matcher(call);
+            Matcher m = calls.matcher(call);
             call = null;
-            calls++;
+            called++;
             service.traffic(heard, 0);
             heard = 0;
             if (!m.matches()) {
@@ -78,12 +85,12 @@
             } else {
                 since = Long.parseLong(m.group(1));
                 waiting = conn;
-                int n = calls;
+                int n = called;
                 if (service.version() > since) {
                     news();
                 } else {
                     pump.after(Long.parseLong(m.group(2)) / 1e3, () -> {
-                        if (waiting != null && calls == n) {
+                        if (waiting != null && called == n) {
                             news();
                         }
                     });
--- a/lab/src/test/java/asterpulley/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/asterpulley/lab/fleet/FleetTest.java
@@ -105,6 +105,29 @@
         assertEquals(0, o.figure("inforce.missing"), o.figures.toString());
     }
 
+    private static final String SETTINGS = SMALL.formatted(5, 0).replace("expect = [", "expect = [\"settings.missing = 0\", "
+            + "\"settings.last_ms < 5000\", ") + "[[entry]]\nkind = \"settings\"\nat_s = 0.2\nfor_s = 100\nevery_s = 0.3\n"
+            + "[[entry]]\nkind = \"zone-relays\"\nat_s = 1\nfor_s = 1\nzone = 2\n";
+
+    @Test
+    void changedSettingsAreInForceAtEveryRelayThatStands() throws IOException {
+        FleetLab lab = play(SETTINGS);
+        lab.verdict();
+        FleetOutcome o = lab.outcomes().get(0);
+        assertEquals(0, o.figure("settings.missing"), o.figures.toString());
+        assertTrue(o.figure("settings.last_ms") > 0 && o.figure("settings.last_ms") < 5000, o.figures.toString());
+        // 16 changes; a quarter of 20 relays is away for some of them.
+        assertTrue(o.figure("settings.count") >= 12 * 15, o.figures.toString());
+        assertEquals(25, o.figure("settings.whole_asked"), "a whole copy at a start, and none besides: " + o.figures);
+    }
+
+    @Test
+    void withoutAServiceOfSettingsNoChangeIsEverInForce() throws IOException {
+        FleetLab lab = play(SETTINGS.replace("length_s = 5", "length_s = 3") + "[settings]\ntold = false\n");
+        assertFalse(lab.verdict());
+        assertTrue(printed.toString().contains("SHORT    settings.missing"), printed.toString());
+    }
+
     @Test
     void relaysThatKnowNoListAskForTheWholeOne() throws IOException {
         FleetLab lab = play(SMALL.formatted(2, 0).replace("[relays]", "[relays]\nknown = false"));
--- a/relay/src/main/java/asterpulley/serve/Control.java
+++ b/relay/src/main/java/asterpulley/serve/Control.java
@@ -44,6 +44,7 @@
     private final InForce told;
     /** What reads the names of profiles and customers besides. */
     private Consumer<Map<String, Object>> front = names -> { };
+    private Runnable settled = () -> { };
     private Config config;
     private Settings inForce;
     /** Of all that is taken and not answered, also by settings that were in force until now. */
@@ -118,6 +119,11 @@
         front = then;
     }
 
+    /** Is told when others are in force, after everybody has them. */
+    public void whenSettingsInForce(Runnable then) {
+        settled = then;
+    }
+
     /** The settings in force, by the platform's names. */
     Map<String, Object> names() {
         return told == null ? config.told() : told.effective();
@@ -136,6 +142,7 @@
         route.settings(inForce, charter);
         loop.after(longestTimeout, () -> longestTimeout = longest());
         longestTimeout = Math.max(longestTimeout, longest());
+        settled.run();
     }
 
     private double longest() {
