--- a/relay/src/main/java/asterpulley/net/Admit.java
+++ b/relay/src/main/java/asterpulley/net/Admit.java
@@ -17,7 +17,7 @@
     private static final double SCARCE_FOR = 5;
 
     private final Loop loop;
-    private final Settings settings;
+    private Settings settings;
     private final Talk talk;
     private final Book book;
     private final Lobby lobby;
@@ -37,6 +37,11 @@
         this.random = random;
     }
 
+    /** These count from now on. */
+    public void settings(Settings anew) {
+        settings = anew;
+    }
+
     /**
      * The sockets that tunnels, probes and newcomers may take together. The bound may change while tunnels stand:
      * what is above a lower one leaves by itself, and nothing new comes meanwhile.
@@ -98,21 +103,23 @@
 
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
-        if (ctx.getMessage() instanceof Passage passage) {
-            boolean full = !lobby.makeRoom(room - reserve - 1);
-            // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free, or idle ones'.
-            if (full ? !crowded : crowded && book.sockets - lobby.idle() < room - reserve - reserve / 2) {
-                crowded = full;
-                book.log((full ? "no sockets left: declining" : "sockets again") + ", in use " + book.sockets
-                        + " of " + room);
-            }
-            if (full) {
-                book.count("declined_no_sockets");
-                book.decline(passage, comeBack());
-                return ctx.getStopAction();
-            }
+        return ctx.getMessage() instanceof Passage passage && !admits(passage) ? ctx.getStopAction() : ctx.getInvokeAction();
+    }
+
+    /** False where there is no room for this tunnel: it is declined then. */
+    public boolean admits(Passage passage) {
+        boolean full = !lobby.makeRoom(room - reserve - 1);
+        // Near the bound every tunnel crosses it: the mode is over when half the reserve again is free, or idle ones'.
+        if (full ? !crowded : crowded && book.sockets - lobby.idle() < room - reserve - reserve / 2) {
+            crowded = full;
+            book.log((full ? "no sockets left: declining" : "sockets again") + ", in use " + book.sockets
+                    + " of " + room);
         }
-        return ctx.getInvokeAction();
+        if (full) {
+            book.count("declined_no_sockets");
+            book.decline(passage, comeBack());
+        }
+        return !full;
     }
 
     private double comeBack() {
--- a/relay/src/main/java/asterpulley/net/LongPoll.java
+++ b/relay/src/main/java/asterpulley/net/LongPoll.java
@@ -53,7 +53,7 @@
     private Connection<?> connection;
     private boolean up, kept, waiting;
     private double askedAt;
-    private String query;
+    private String query, with = "";
     private int call, status;
     private Loop.Due patience;
 
@@ -77,6 +77,11 @@
         address = to;
     }
 
+    /** Goes behind the version in the query of each call from now on, as {@code &name=value}. */
+    public void with(String more) {
+        with = more;
+    }
+
     /**
      * Asks for what is newer than a version, and lets the call wait so long for it; with {@link #NONE} for the whole, at
      * once. It fails as silent when there is no whole answer {@code patience} seconds from now.
@@ -89,7 +94,7 @@
             this.patience.cancel();
         }
         this.patience = loop.after(patience, () -> failed(n, "no answer", true));
-        query = version == NONE ? null : "index=" + version + "&wait=" + Math.round(wait * 1000);
+        query = version == NONE ? null : "index=" + version + "&wait=" + Math.round(wait * 1000) + with;
         if (connection != null && connection.isOpen()) {
             kept = true;
             ask();
--- a/relay/src/main/java/asterpulley/net/Route.java
+++ b/relay/src/main/java/asterpulley/net/Route.java
@@ -6,6 +6,7 @@
 import asterpulley.Outcome;
 import asterpulley.Report;
 import asterpulley.Settings;
+import asterpulley.routes.Charter;
 import asterpulley.routes.Guide;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -36,6 +37,7 @@
     private Balance balance;
     private Consumer<String> probes;
     private Runnable watch;
+    private Runnable whenListed = () -> { };
 
     public Route(Loop loop, Book book) {
         this.loop = loop;
@@ -78,6 +80,14 @@
         }
     }
 
+    /** These count from now on, for the module and, where there are pools, for their rules: none may be half changed. */
+    public void settings(Settings anew, Charter charter) {
+        if (guide != null) {
+            guide.change(charter, loop.now());
+        }
+        tell(() -> balance.settings(anew));
+    }
+
     private void tell(Runnable call) {
         calls.add(call);
         if (deciding) {
@@ -106,6 +116,12 @@
         if (!(ctx.getMessage() instanceof Passage passage)) {
             return ctx.getInvokeAction();
         }
+        take(passage);
+        return ctx.getStopAction();
+    }
+
+    /** A tunnel that a front has taken in and that there is room for; what becomes of it, its {@link Talk} is asked. */
+    public void take(Passage passage) {
         passage.id = book.enter(passage);
         if (passage.asked.at() != null) {
             passage.talk.reopen(passage);
@@ -125,7 +141,6 @@
                 passage.overdue = loop.after(budget, () -> overdue(passage));
             }
         }
-        return ctx.getStopAction();
     }
 
     /** Guards against a tunnel that nobody answers: at its client's timeout it is given up, at the latest. */
@@ -224,7 +239,15 @@
     }
 
     public void listed(List<Listed> servers, boolean whole) {
-        tell(() -> list(servers, whole));
+        tell(() -> {
+            list(servers, whole);
+            whenListed.run();
+        });
+    }
+
+    /** Is told whenever news of the list is in force here. */
+    public void whenListed(Runnable then) {
+        whenListed = then;
     }
 
     private void list(List<Listed> servers, boolean whole) {
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -5,27 +5,22 @@
 import asterpulley.decode.Json;
 import asterpulley.door.Door;
 import asterpulley.line.LineTalk;
-import asterpulley.line.Probes;
 import asterpulley.line.Relay;
 import asterpulley.line.Send;
 import asterpulley.line.TakeIn;
+import asterpulley.line.Words;
 import asterpulley.list.Discovery;
 import asterpulley.net.Accepting;
-import asterpulley.net.Admit;
 import asterpulley.net.Book;
-import asterpulley.net.Dialer;
 import asterpulley.net.Listener;
-import asterpulley.net.Lobby;
 import asterpulley.net.Loop;
 import asterpulley.net.Route;
 import asterpulley.net.SocketFilter;
-import asterpulley.routes.Guide;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -35,8 +30,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.memory.PooledMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import sun.misc.Signal;
 
 /**
@@ -66,10 +59,10 @@
     private final long begun = System.nanoTime();
     private Config config;
     private final Loop loop = new Loop();
+    private final Control control;
     private final Book book;
     private final Route route;
     private final Discovery discovery;
-    private final Admit admit;
     private final TCPNIOTransport transport;
     private Listener listener;
     private final CountDownLatch gone = new CountDownLatch(1);
@@ -78,61 +71,49 @@
     private final Operators operators;
     private final Door door;
     private final Kept kept;
-    private final CountDownLatch current = new CountDownLatch(1);
+    private final CountDownLatch current = new CountDownLatch(1), settingsHeard = new CountDownLatch(1);
+    /** Null where no service tells settings: then those of the file count, from a start. */
+    private final SettingsWatch settings;
     /** Guarded by {@link #gone}, like the listener until it is open. */
     private boolean shut;
 
     /** Decides from now on; nobody is accepted before {@link #open}. {@code folder}: what outlives it; null: nothing. */
     Serve(Config config, Path folder) throws IOException {
         this.config = config;
-        book = new Book(config.settings.profiles.stream().map(p -> p.name).toList());
-        transport = TCPNIOTransportBuilder.newInstance().setName("relay")
-                .setSelectorRunnersCount(1)
-                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig().setPoolName("relay").setCorePoolSize(1)
-                        .setMaxPoolSize(1))
-                .setSelectorHandler(loop).setReuseAddress(true).setTcpNoDelay(true)
-                .setReadBufferSize(SocketFilter.BUFFER)
-                .setMemoryManager(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, pooled(config.memory), 0.25f, false)).build();
+        transport = Control.transport(loop, new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, pooled(config.memory), 0.25f,
+                false));
         LineTalk talk = new LineTalk();
-        Lobby lobby = new Lobby(loop, book, talk);
-        route = new Route(loop, book);
-        discovery = new Discovery(config.discovery, !config.settings.listMustBeAsked, config.names, config.known, loop, book,
-                route, transport);
-        farewell = new Farewell(loop, book, route, lobby, this::shut);
         kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
-        operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept);
+        control = new Control(config, kept, talk, loop, transport);
+        book = control.book;
+        route = control.route;
+        discovery = control.discovery;
+        settings = control.settings;
+        farewell = new Farewell(loop, book, route, control.lobby, this::shut);
+        operators = config.operator == null ? null : new Operators(farewell, book, route, loop, kept, settings);
         door = operators == null ? null : new Door(operators, loop, book);
-        Dialer dialer = new Dialer(config.connectTimeout, transport, loop, book, lobby, discovery::dial);
-        Send send = new Send(loop, book, dialer, route);
+        Send send = new Send(loop, book, control.dialer, route);
         Relay relay = new Relay(loop, book, route, send);
         talk.through(send, relay);
-        Probes probes = new Probes(config.settings, loop, book, dialer, route);
-        SocketFilter sockets = new SocketFilter(transport, loop, book, lobby);
-        admit = new Admit(loop, config.settings, talk, book, lobby, new Random(config.seed));
-        lobby.alsoFrees(probes::hangUp);
-        transport.setIOStrategy(new Accepting(loop, admit));
+        transport.setIOStrategy(new Accepting(loop, control.admit));
         limits();
-        send.through(FilterChainBuilder.stateless().add(sockets).add(send).add(relay).build());
-        probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
-        transport.setProcessor(FilterChainBuilder.stateless().add(sockets)
-                .add(new TakeIn(loop, config.words, talk, book, lobby, () -> !farewell.quiet())).add(admit).add(route).add(relay).build());
+        send.through(FilterChainBuilder.stateless().add(control.sockets).add(send).add(relay).build());
+        TakeIn takeIn = new TakeIn(loop, new Words(control.names()), talk, book, control.lobby, () -> !farewell.quiet());
+        control.whenNamesChange(names -> takeIn.words(new Words(names)));
+        transport.setProcessor(FilterChainBuilder.stateless().add(control.sockets).add(takeIn)
+                .add(control.admit).add(route).add(relay).build());
         // Timers and the module start as the loop's first work.
         transport.start();
         CountDownLatch started = new CountDownLatch(1);
         loop.handIn(() -> {
-            if (config.tellsOfPools()) {
-                route.narrowedBy(new Guide(config.charter(), loop.now(), book::log, book::count));
-            }
             if (catchesUp()) {
                 discovery.whenCurrent(current::countDown);
             }
-            route.start(config.settings, config.seed, config.known.servers(), probes::ask, discovery::watch);
+            control.start(settingsHeard::countDown);
             if (operators != null) {
                 operators.start();
             }
-            lobby.start();
             relay.start();
-            probes.start();
             started.countDown();
         });
         try {
@@ -159,8 +140,13 @@
         }
         try {
             double patience = Math.max(MOMENT, Math.min(CATCH_UP, READY - (System.nanoTime() - begun) / 1e9));
-            if (catchesUp() && !current.await((long) (patience * 1000), TimeUnit.MILLISECONDS)) {
-                LOG.info("no news of the list in " + Math.round(10 * patience) / 10.0 + " s, serving by the one at hand");
+            String waited = Math.round(10 * patience) / 10.0 + " s, serving by ";
+            long until = System.nanoTime() + (long) (patience * 1e9);
+            if (settings != null && !settingsHeard.await(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+                LOG.info("no news of the settings in " + waited + settings.inForce().version());
+            }
+            if (catchesUp() && !current.await(until - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+                LOG.info("no news of the list in " + waited + "the one at hand");
             }
         } catch (InterruptedException e) {
             throw new IOException("interrupted at the start");
@@ -202,7 +188,7 @@
     private void limits() {
         // At an upgrade two processes share the memory.
         book.mostWaiting = (int) (config.memory / (operators == null ? 1 : 2) * FOR_SLOW_READERS / SocketFilter.BUFFER);
-        admit.room(config.sockets - OWN_FILES - (door == null ? 0 : Door.SOCKETS));
+        control.admit.room(config.sockets - OWN_FILES - (door == null ? 0 : Door.SOCKETS));
     }
 
     /**
@@ -230,12 +216,16 @@
                 + ", sockets " + anew.sockets + ", held " + book.held()
                 + (config.needsStart(anew) ? "; changes of name, listen and settings wait for a restart" : ""));
         book.count("configurations");
-        if (anew.tellsOfPools() != (route.guide() != null)
-                || anew.tellsOfPools() && !route.guide().change(anew.charter(), loop.now())) {
+        if (anew.tellsOfPools() != (route.guide() != null) || anew.tellsOfPools() && !route.guide().change(
+                anew.charter(settings == null ? anew.told() : control.names()), loop.now())) {
             LOG.warning("pools wait for a restart: whether they are told, their names and this relay's own count from a start");
         }
         config = anew;
         limits();
+        control.reread(anew);
+        if (settings != null && anew.settingsService != null) {
+            settings.moveTo(anew.settingsService);
+        }
         if (anew.discovery == null) {
             discovery.tell(anew.known);
         } else {
@@ -261,7 +251,12 @@
             stderr.println("asterpulley serve: LB_CONFIG names no configuration");
             return 1;
         }
-        return run(file, () -> Config.json(Path.of(file)), stderr);
+        return run(file, () -> {
+            Map<String, Object> told = Config.json(Path.of(file));
+            // The platform has no such service: only an operator's own file may name one.
+            told.remove(Config.SETTINGS_SERVICE);
+            return told;
+        }, stderr);
     }
 
     /** Serves by a configuration of any form, until told to end; returns the exit status. */
@@ -326,8 +321,7 @@
             if (succeeded) {
                 shut();
             }
-            farewell.leave(config.settings.profiles.stream().mapToDouble(p -> p.clientTimeout).max().orElse(0), succeeded,
-                    gone::countDown);
+            farewell.leave(control.longestTimeout(), succeeded, gone::countDown);
         });
     }
 
