--- a/relay/src/test/java/asterpulley/serve/ReturnTest.java
+++ b/relay/src/test/java/asterpulley/serve/ReturnTest.java
@@ -298,7 +298,7 @@
         for (boolean pushed : new boolean[] {false, true}) {
             for (Trouble trouble : List.of(Trouble.DOWN, Trouble.REFUSES, Trouble.RESETS, Trouble.SILENT, Trouble.CUT,
                     Trouble.FULL, Trouble.MALFORMED)) {
-                for (int seconds : new int[] {1, 3}) {
+                for (int seconds : new int[] {1, 4}) {
                     Path path = new Path(null, pushed, known);
                     paths.put(trouble + ", " + seconds + " s" + (pushed ? ", pushed" : ""), () -> {
                         path.service.falls(trouble);
@@ -319,7 +319,7 @@
                 Config to = config(told -> told(told, other, pushed), 1000, known);
                 paths.put("moved to " + trouble + (pushed ? ", pushed" : ""), () -> {
                     path.service.falls(Trouble.DOWN);
-                    TimeUnit.SECONDS.sleep(3);
+                    TimeUnit.SECONDS.sleep(4);
                     other.falls(trouble);
                     if (trouble == Trouble.NONE) {
                         other.returns(Trouble.NONE, anew);
@@ -334,23 +334,26 @@
                 });
             }
         }
-        paths.putAll(twentyRelaysAtOnceAtOneThatIsOverbooked(known, anew));
         inTime(paths);
     }
 
-    private Map<String, Measure> twentyRelaysAtOnceAtOneThatIsOverbooked(String[] known, String[] anew) throws IOException {
+    @Test
+    void twentyRelaysAtOnceHearAnOverbookedServiceBeforeItsListCountsAsTold() throws Exception {
+        Backend one = new Backend();
+        Backend two = new Backend();
         Map<String, Measure> paths = new TreeMap<>();
         for (Trouble trouble : List.of(Trouble.LATE, Trouble.OVERBOOKED)) {
             Worker worker = new Worker();
             for (int i = 0; i < 20; i++) {
-                Path path = new Path(worker, false, known);
+                Path path = new Path(worker, false, one.entry("s1", "up"));
                 paths.put(trouble + ", relay " + i, () -> {
                     path.service.falls(Trouble.DOWN);
                     TimeUnit.SECONDS.sleep(2);
-                    return until(path.service, path.service.returns(trouble, anew));
+                    return until(path.service,
+                            path.service.returns(trouble, one.entry("s1", "draining"), two.entry("s2", "up")));
                 });
             }
         }
-        return paths;
+        inTime(paths);
     }
 }
