--- a/relay/src/main/java/asterpulley/serve/Control.java
+++ b/relay/src/main/java/asterpulley/serve/Control.java
@@ -69,7 +69,8 @@
         dialer = new Dialer(Config.connectTimeout(names()), transport, loop, book, lobby, discovery::dial);
         probes = new Probes(inForce, loop, book, dialer, route);
         sockets = new SocketFilter(transport, loop, book, lobby);
-        admit = new Admit(inForce, talk, book, lobby, new Random(config.seed));
+        admit = new Admit(loop, inForce, talk, book, lobby, new Random(config.seed));
+        lobby.alsoFrees(probes::hangUp);
         admit.room(config.sockets);
         probes.through(FilterChainBuilder.stateless().add(sockets).add(probes).build());
         settings = told == null ? null : new SettingsWatch(config.settingsService, told, this::settingsChanged, loop, book,
--- a/relay/src/main/java/asterpulley/serve/Serve.java
+++ b/relay/src/main/java/asterpulley/serve/Serve.java
@@ -10,6 +10,7 @@
 import asterpulley.line.TakeIn;
 import asterpulley.line.Words;
 import asterpulley.list.Discovery;
+import asterpulley.net.Accepting;
 import asterpulley.net.Book;
 import asterpulley.net.Listener;
 import asterpulley.net.Loop;
@@ -46,6 +47,8 @@
     private static final int OWN_FILES = 40;
     /** The part of the memory that may hold what slow readers have not read. */
     private static final double FOR_SLOW_READERS = 0.1;
+    /** The part that is kept for buffers, also where the process has more than this relay was told. */
+    private static final double POOLED = 0.03;
     /** A start waits so long for news of the list, well within the time in which it has to be ready. */
     private static final double CATCH_UP = 2.5;
     /** Where the machine is slow, a start waits no longer than until then, seconds from its begin, but a moment it does. */
@@ -77,7 +80,7 @@
     /** Decides from now on; nobody is accepted before {@link #open}. {@code folder}: what outlives it; null: nothing. */
     Serve(Config config, Path folder) throws IOException {
         this.config = config;
-        transport = Control.transport(loop, new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, 0.03f, 0.25f, false));
+        transport = Control.transport(loop, new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 1, pooled(config.memory), 0.25f, false));
         LineTalk talk = new LineTalk();
         kept = config.operator == null || folder == null ? null : new Kept(folder, config.name);
         control = new Control(config, kept, talk, loop, transport);
@@ -91,6 +94,7 @@
         Send send = new Send(loop, book, control.dialer, route);
         Relay relay = new Relay(loop, book, route, send);
         talk.through(send, relay);
+        transport.setIOStrategy(new Accepting(loop, control.admit));
         limits();
         send.through(FilterChainBuilder.stateless().add(control.sockets).add(send).add(relay).build());
         TakeIn takeIn = new TakeIn(loop, new Words(control.names()), talk, book, control.lobby, () -> !farewell.quiet());
@@ -176,6 +180,10 @@
         }
     }
 
+    private static float pooled(double memory) {
+        return (float) (POOLED * Math.min(1, memory / Runtime.getRuntime().maxMemory()));
+    }
+
     private void limits() {
         // At an upgrade two processes share the memory.
         book.mostWaiting = (int) (config.memory / (operators == null ? 1 : 2) * FOR_SLOW_READERS / SocketFilter.BUFFER);
