Fleet: tunnels of hollow and real relays are drawn; a start's probes of both are told

Cause: hollow relays asked 2.2 to 2.5 times as often as real ones at 400 servers (4.7 to 5.0 against 2.0 to 2.2 a second). Tunnels came evenly and all stood as long, so ends fell in step with arrivals: shortly before them with real clients, shortly after with hollow ones, and the server that had just lost a tunnel looked emptiest and had been asked of late. Without tunnels the two were alike (0.93 and 1.02). Change: Arrivals draws times, lifetimes and ids by the seed for both. start_probes and tunnels_per_s are figures of both. Measured: FleetTest, ReckoningTest and BordersTest pass (17).

--- a/lab/src/main/java/asterpulley/lab/fleet/FleetFigures.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetFigures.java
@@ -9,10 +9,10 @@
     /** Of one relay and second while nothing but ordinary changes happens; {@code hollow.} and {@code real.} go before. */
     static final List<String> A_RELAY = List.of("list_calls_per_s", "list_bytes_in_per_s", "list_bytes_out_per_s", "probes_per_s",
             "probe_bytes_in_per_s", "probe_bytes_out_per_s", "messages_in_per_s", "messages_out_per_s", "bytes_per_s",
-            "cpu_percent", "heap_mb");
+            "cpu_percent", "heap_mb", "start_probes", "tunnels_per_s");
     /** What hollow relays are held against the real ones in; {@code against.} goes before. */
     static final List<String> AGAINST = List.of("list_calls", "list_bytes", "probes", "messages");
-    private static final List<String> OTHERS = List.of("hollow.thread_cpu_percent", "hollow.start_probes",
+    private static final List<String> OTHERS = List.of("hollow.thread_cpu_percent",
             "hollow.start_list_bytes", "hollow.probe_connections", "service.list_calls_per_s", "service.list_bytes_per_s",
             "service.whole_bytes", "inforce.p50_ms", "inforce.p99_ms", "inforce.last_ms", "inforce.missing", "inforce.count",
             "decision.p50_us", "decision.p99_us", "tunnels.opened_share", "worst.calls_per_s", "worst.connects_per_s",
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
@@ -146,7 +146,7 @@
             reals.add(RelayProcess.start(folder, name, plan.config(name, outcome.size.relays() + r, outcome.size,
                     at.getHostString() + ":" + at.getPort(), list.address(), plan.known ? page.list() : Catalog.none()),
                     plan.memory, at));
-            clients.add(new RealClients(plan, pump, at, r));
+            clients.add(new RealClients(plan, pump, at, outcome.size.relays() + r));
             clients.get(r).waitFor();
         }
         double end = pump.now() + READY;
@@ -396,12 +396,14 @@
         put(kind, "messages_out_per_s", list.applyAsDouble(Tally.What.CALLS) + probe.applyAsDouble(Tally.What.CALLS));
         put(kind, "bytes_per_s", f.get(kind + ".list_bytes_in_per_s") + f.get(kind + ".list_bytes_out_per_s")
                 + f.get(kind + ".probe_bytes_in_per_s") + f.get(kind + ".probe_bytes_out_per_s"));
+        put(kind, "start_probes", asked(from.servers, Tally.What.CALLS, real) / many);
         if (real) {
+            put(kind, "tunnels_per_s", probe.applyAsDouble(Tally.What.OPENINGS));
             put(kind, "cpu_percent", (until.realCpu - from.realCpu) / per * 100);
         } else {
             put(kind, "cpu_percent", (used(until, "process_cpu") - used(from, "process_cpu")) / per * 100);
             put(kind, "thread_cpu_percent", (used(until, "thread_cpu") - used(from, "thread_cpu")) / per * 100);
-            put(kind, "start_probes", asked(from.servers, Tally.What.CALLS, false) / many);
+            put(kind, "tunnels_per_s", (used(until, "opened") - used(from, "opened")) / per);
             put(kind, "start_list_bytes", (double) a.get(Tally.What.BYTES_TO) / many);
             put(kind, "probe_connections", asked(until.servers, Tally.What.CONNECTS, false) / many);
         }
--- a/lab/src/main/java/asterpulley/lab/fleet/Hollow.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/Hollow.java
@@ -21,7 +21,7 @@
  */
 final class Hollow implements Talk {
     /** What all hollow relays of a process share. */
-    record Shared(MemoryManager<?> memory, double tunnelsPerS, double lifetime, double setup, double timeout, Histogram decisions,
+    record Shared(MemoryManager<?> memory, double setup, double timeout, Histogram decisions,
             Sights sights, LongAdder taken, LongAdder opened, LongAdder declined, LongAdder errors) {
     }
 
@@ -60,11 +60,12 @@
     private final Control control;
     private volatile boolean stopped;
     private volatile long thread;
-    private long tunnels;
+    private final Arrivals arrivals;
 
-    Hollow(int number, Map<String, Object> config, Shared shared) throws IOException {
+    Hollow(int number, Map<String, Object> config, Arrivals arrivals, Shared shared) throws IOException {
         this.number = number;
         this.shared = shared;
+        this.arrivals = arrivals;
         transport = Control.transport(loop, shared.memory);
         control = Control.of(config, this, loop, transport);
         control.route.whenListed(() -> shared.sights.saw(number, InForce.What.CAME_TO, control.listVersion()));
@@ -73,9 +74,8 @@
             thread = Thread.currentThread().getId();
             shared.sights.saw(number, InForce.What.STARTED, control.listVersion());
             control.start();
-            if (shared.tunnelsPerS > 0) {
-                // Relays are not in step with each other.
-                loop.after(Math.floorMod(number * 0x9E3779B97F4A7C15L, 1000) / 1000.0 / shared.tunnelsPerS, this::comes);
+            if (arrivals.any()) {
+                loop.after(arrivals.gap(), this::comes);
             }
         });
     }
@@ -96,8 +96,8 @@
         if (stopped) {
             return;
         }
-        loop.after(1 / shared.tunnelsPerS, this::comes);
-        String id = Long.toHexString(((long) number << 32) + ++tunnels);
+        loop.after(arrivals.gap(), this::comes);
+        String id = arrivals.id();
         Passage passage = new Passage(null, new Tunnel(id, id, "c" + id, shared.timeout), this, loop.now());
         shared.taken.increment();
         control.book.firstSeen(id);
@@ -140,7 +140,7 @@
         control.book.opened(passage);
         shared.opened.increment();
         control.route.opened(passage);
-        loop.after(shared.lifetime, () -> ends(passage, Failure.Cause.BYE));
+        loop.after(arrivals.lifetime(), () -> ends(passage, Failure.Cause.BYE));
     }
 
     private void ends(Passage passage, Failure.Cause cause) {
--- a/lab/src/main/java/asterpulley/lab/fleet/HollowMain.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/HollowMain.java
@@ -56,8 +56,7 @@
     private HollowMain(Map<String, Object> told) throws IOException {
         this.told = told;
         sights = new DataOutputStream(new BufferedOutputStream(Files.newOutputStream(Path.of(Json.text(told, "sights"))), 1 << 16));
-        shared = new Hollow.Shared(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 4, 0.03f, 0.25f, false), number("tunnels"),
-                number("lifetime"), number("setup"), number("timeout"), decisions, this, new LongAdder(), new LongAdder(),
+        shared = new Hollow.Shared(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 4, 0.03f, 0.25f, false), number("setup"), number("timeout"), decisions, this, new LongAdder(), new LongAdder(),
                 new LongAdder(), new LongAdder());
     }
 
@@ -129,7 +128,8 @@
             Json.part(config, "settings").put("myZone", who[i] % (int) number("zones"));
             config.put("name", "h" + (who[i] + 1));
             config.put("seed", Long.toHexString(((long) number("seed")) * 1_000_003 + who[i] * 1009L));
-            relays.put(who[i], new Hollow(who[i], config, shared));
+            relays.put(who[i], new Hollow(who[i], config,
+                    new Arrivals((long) number("seed"), who[i], number("tunnels"), number("lifetime")), shared));
         }
     }
 
--- a/lab/src/main/java/asterpulley/lab/fleet/RealClients.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/RealClients.java
@@ -9,19 +9,16 @@
  * never retry.
  */
 final class RealClients {
-    private final FleetPlan plan;
     private final Pump pump;
     private final InetSocketAddress relay;
-    private final int number;
-    private long tunnels;
+    private final Arrivals arrivals;
     boolean ready, over;
     long opened, failed;
 
     RealClients(FleetPlan plan, Pump pump, InetSocketAddress relay, int number) {
-        this.plan = plan;
         this.pump = pump;
         this.relay = relay;
-        this.number = number;
+        arrivals = new Arrivals(plan.seed, number, plan.tunnels, plan.lifetime);
     }
 
     /** Asks until the relay answers, as a front does. */
@@ -48,11 +45,17 @@
     }
 
     void start() {
-        if (over || plan.tunnels <= 0) {
+        if (!over && arrivals.any()) {
+            pump.after(arrivals.gap(), this::comes);
+        }
+    }
+
+    private void comes() {
+        start();
+        if (over) {
             return;
         }
-        pump.after(1 / plan.tunnels, this::start);
-        String id = Long.toHexString((0xfL << 56) + ((long) number << 32) + ++tunnels);
+        String id = arrivals.id();
         pump.connect(relay, new Conn.Ear() {
             @Override
             public void up(Conn conn) {
@@ -63,7 +66,7 @@
             public void line(Conn conn, String line) {
                 if (line.startsWith("UP")) {
                     opened++;
-                    pump.after(plan.lifetime, conn::close);
+                    pump.after(arrivals.lifetime(), conn::close);
                 } else if (line.startsWith("BUSY") || line.startsWith("ERR")) {
                     failed++;
                     conn.close();
--- a/lab/src/test/java/asterpulley/lab/fleet/BordersTest.java
+++ b/lab/src/test/java/asterpulley/lab/fleet/BordersTest.java
@@ -23,7 +23,7 @@
     void whatIsWorkedOutDoesNoInputOrOutput() {
         noClasses().that().haveSimpleName("Schedule").or().haveSimpleName("InForce").or().haveSimpleName("Fit").or()
                 .haveSimpleName("Room").or().haveSimpleName("Catalog").or().haveSimpleName("Tally").or()
-                .haveSimpleName("FleetFigures").or().haveSimpleName("FleetOutcome")
+                .haveSimpleName("FleetFigures").or().haveSimpleName("Arrivals").or().haveSimpleName("FleetOutcome")
                 .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.net..", "java.nio.channels..",
                         "java.nio.file..", "asterpulley.lab.sock..").check(lab);
     }
--- a/lab/src/test/java/asterpulley/lab/fleet/ReckoningTest.java
+++ b/lab/src/test/java/asterpulley/lab/fleet/ReckoningTest.java
@@ -1,6 +1,7 @@
 package asterpulley.lab.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
@@ -9,6 +10,8 @@
 import asterpulley.files.Sheet;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
 /** What a fleet run works out without sockets: its timetable, when changes were in force, lines through figures, its room. */
@@ -124,6 +127,28 @@
                 """), SIZE).steps);
     }
 
+    @Test
+    void tunnelsAreDrawnByTheSeedAboutTheirMeans() {
+        Arrivals a = new Arrivals(3, 5, 2, 15);
+        Arrivals same = new Arrivals(3, 5, 2, 15);
+        double gaps = 0;
+        double lives = 0;
+        Set<String> ids = new TreeSet<>();
+        for (int i = 0; i < 20_000; i++) {
+            double gap = a.gap();
+            assertEquals(gap, same.gap());
+            gaps += gap;
+            lives += a.lifetime();
+            same.lifetime();
+            ids.add(a.id());
+        }
+        assertEquals(0.5, gaps / 20_000, 0.02);
+        assertEquals(15, lives / 20_000, 0.6);
+        assertEquals(20_000, ids.size());
+        assertNotEquals(same.gap(), new Arrivals(3, 6, 2, 15).gap());
+        assertTrue(!new Arrivals(3, 5, 0, 15).any());
+    }
+
     @Test
     void callersAtOneVersionAreToldTheSameBytes() {
         Catalog c = new Catalog(plan(""), 12);
