--- a/lab/src/main/java/asterpulley/lab/fleet/FleetLab.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetLab.java
@@ -93,7 +93,6 @@
                         apart * 100, f);
             }
         }
-        o.notes.forEach(n -> out.println("  ! " + n));
         if (o.noVerdict != null) {
             out.println("  no verdict: " + o.noVerdict);
         }
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetOutcome.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetOutcome.java
@@ -1,7 +1,6 @@
 package asterpulley.lab.fleet;
 
 import asterpulley.lab.plan.Plan;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -11,7 +10,6 @@
     final FleetPlan.Size size;
     final Map<String, Double> figures = new TreeMap<>();
     final Map<String, List<Long>> seconds = new TreeMap<>();
-    final List<String> notes = new ArrayList<>();
     /** Why there is no verdict; null where there is one. */
     String noVerdict;
 
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetReports.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetReports.java
@@ -33,7 +33,7 @@
             plays.add(Told.map("on", "hollow relays", "policy", o.size.relays() + " relays, " + o.size.servers() + " servers",
                     "relays", o.size.relays(), "servers", o.size.servers(),
                     "verdict", o.noVerdict != null ? "none: " + o.noVerdict : o.good(plan) ? "holds" : "short",
-                    "expect", expects, "figures", o.figures, "notes", o.notes, "by_second", o.seconds));
+                    "expect", expects, "figures", o.figures, "by_second", o.seconds));
         }
         Map<String, Object> slopes = new LinkedHashMap<>();
         lab.fits().forEach((name, fit) -> slopes.put(name, Told.map("slope", fit.slope(), "error", fit.error(), "at_0", fit.at0())));
--- a/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
@@ -434,7 +434,8 @@
         Histogram all = new Histogram(10_000_000, 3);
         for (JsonNode h : ofHollows) {
             try {
-                all.add(Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(Base64.getDecoder().decode(h.get("decisions").asText())), 0));
+                byte[] bytes = Base64.getDecoder().decode(h.get("decisions").asText());
+                all.add(Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(bytes), 0));
             } catch (DataFormatException e) {
                 throw new IOException("a histogram can't be read", e);
             }
--- a/lab/src/main/java/asterpulley/lab/fleet/HollowMain.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/HollowMain.java
@@ -56,8 +56,8 @@
     private HollowMain(Map<String, Object> told) throws IOException {
         this.told = told;
         sights = new DataOutputStream(new BufferedOutputStream(Files.newOutputStream(Path.of(Json.text(told, "sights"))), 1 << 16));
-        shared = new Hollow.Shared(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 4, 0.03f, 0.25f, false), number("setup"), number("timeout"), decisions, this, new LongAdder(), new LongAdder(),
-                new LongAdder(), new LongAdder());
+        shared = new Hollow.Shared(new PooledMemoryManager(SocketFilter.BUFFER, 1, 1, 4, 0.03f, 0.25f, false),
+                number("setup"), number("timeout"), decisions, this, new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder());
     }
 
     @SuppressWarnings("unchecked")
