Fleet: real relays have a process of servers for themselves

Cause: at 1,600 servers real relays opened 0.02 tunnels a second and seemed to take 1.4% of a core: the one process of servers that they shared with hollow relays had to hold 26,000 connections and has 20,000 descriptors. Change: Room plans a process of servers for real relays, counts by whole processes of relays, and tells where one would need too much.

--- a/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
@@ -93,8 +93,10 @@
 
     private void servers() throws IOException {
         for (int k = 0; k < room.serverProcesses(); k++) {
-            List<String> callers = new ArrayList<>(k == 0 ? List.of(REAL) : List.of());
-            for (int h = k; h < room.hollowProcesses(); h += room.serverProcesses()) {
+            // The real ones have the first for themselves.
+            int first = plan.real > 0 ? 1 : 0;
+            List<String> callers = new ArrayList<>(k < first ? List.of(REAL) : List.of());
+            for (int h = k - first; k >= first && h < room.hollowProcesses(); h += room.serverProcesses() - first) {
                 callers.add(Integer.toString(h));
             }
             servers.add(new Child(folder, "servers" + k, ServersMain.class, Told.map("here", here.getHostAddress(),
--- a/lab/src/main/java/asterpulley/lab/fleet/Room.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/Room.java
@@ -20,14 +20,17 @@
         int probed = plan.probeConnections > 0 ? Math.min(plan.probeConnections, size.servers()) : size.servers();
         int each = (int) Math.max(1, Math.min(800, most / (OWN + probed)));
         int hollow = (int) Math.ceil((double) size.relays() / each);
-        // Each process of relays reaches all servers at addresses of its own.
-        double needed = (double) size.relays() * probed + (double) (hollow + 1) * size.servers();
-        int servers = (int) Math.max(1, Math.ceil(needed / most));
+        // Each process of relays reaches all servers at addresses of its own; real relays have a process of servers for themselves.
+        double ofOne = Math.ceil((double) size.relays() / hollow) * probed + size.servers();
+        int servers = (int) Math.ceil(hollow / Math.max(1, Math.floor(most / ofOne))) + (plan.real > 0 ? 1 : 0);
+        double needed = hollow * ofOne + (plan.real > 0 ? (double) plan.real * probed + size.servers() : 0);
         double heap = 128 + (double) size.relays() / hollow * (RELAY_MB + SERVER_MB * size.servers());
         double all = hollow * (heap + JVM_MB) + servers * SERVERS_MB + DRIVER_MB + plan.real * REAL_MB;
         String tooMuch = null;
         if (size.relays() * 1.1 + 200 > most) {
             tooMuch = "the list's service would need " + size.relays() + " descriptors of " + descriptors;
+        } else if (Math.max(ofOne, (double) plan.real * probed + size.servers()) > most) {
+            tooMuch = "one process of servers would need more descriptors than " + descriptors;
         } else if (hollow + servers > MOST_PROCESSES) {
             tooMuch = "needs " + (hollow + servers) + " processes, for " + (long) needed + " connections to servers";
         } else if (all > memoryMb / 2) {
--- a/lab/src/test/java/asterpulley/lab/fleet/ReckoningTest.java
+++ b/lab/src/test/java/asterpulley/lab/fleet/ReckoningTest.java
@@ -171,7 +171,16 @@
         assertTrue(Room.of(plan, new FleetPlan.Size(400, 100), 1_000, 24_000).hollowProcesses() > 1);
         assertTrue(Room.of(plan, new FleetPlan.Size(6_400, 100), 7_000, 24_000).tooMuch().contains("descriptors"));
         assertTrue(Room.of(plan, new FleetPlan.Size(6_400, 400), 20_000, 8_000).tooMuch().contains("MB"));
+        // Real relays' connections count as well, and are not the same process's as those of hollow ones.
+        plan.real = 8;
         plan.probeConnections = 0;
+        assertNull(Room.of(plan, new FleetPlan.Size(100, 1_600), 20_000, 24_000).tooMuch());
+        plan.real = 20;
+        assertTrue(Room.of(plan, new FleetPlan.Size(100, 1_600), 20_000, 24_000).tooMuch().contains("descriptors"));
+        plan.real = 0;
+        int without = Room.of(plan, new FleetPlan.Size(100, 25), 20_000, 24_000).serverProcesses();
+        plan.real = 1;
+        assertEquals(without + 1, Room.of(plan, new FleetPlan.Size(100, 25), 20_000, 24_000).serverProcesses());
         assertNotNull(Room.of(plan, new FleetPlan.Size(6_400, 400), 20_000, 200_000).tooMuch());
     }
 }
