--- a/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/FleetRun.java
@@ -95,8 +95,10 @@
 
     private void servers() throws IOException {
         for (int k = 0; k < room.serverProcesses(); k++) {
-            List<String> callers = new ArrayList<>(k == 0 ? List.of(REAL) : List.of());
-            for (int h = k; h < room.hollowProcesses(); h += room.serverProcesses()) {
+            // The real ones have the first for themselves.
+            int first = plan.real > 0 ? 1 : 0;
+            List<String> callers = new ArrayList<>(k < first ? List.of(REAL) : List.of());
+            for (int h = k - first; k >= first && h < room.hollowProcesses(); h += room.serverProcesses() - first) {
                 callers.add(Integer.toString(h));
             }
             servers.add(new Child(folder, "servers" + k, ServersMain.class, Told.map("here", here.getHostAddress(),
@@ -152,7 +154,7 @@
             reals.add(RelayProcess.start(folder, name, plan.config(name, outcome.size.relays() + r, outcome.size,
                     at.getHostString() + ":" + at.getPort(), list.address(), plan.known ? page.list() : Catalog.none()),
                     plan.memory, at));
-            clients.add(new RealClients(plan, pump, at, r));
+            clients.add(new RealClients(plan, pump, at, outcome.size.relays() + r));
             clients.get(r).waitFor();
         }
         double end = pump.now() + READY;
@@ -425,12 +427,14 @@
         put(kind, "messages_out_per_s", list.applyAsDouble(Tally.What.CALLS) + probe.applyAsDouble(Tally.What.CALLS));
         put(kind, "bytes_per_s", f.get(kind + ".list_bytes_in_per_s") + f.get(kind + ".list_bytes_out_per_s")
                 + f.get(kind + ".probe_bytes_in_per_s") + f.get(kind + ".probe_bytes_out_per_s"));
+        put(kind, "start_probes", asked(from.servers, Tally.What.CALLS, real) / many);
         if (real) {
+            put(kind, "tunnels_per_s", probe.applyAsDouble(Tally.What.OPENINGS));
             put(kind, "cpu_percent", (until.realCpu - from.realCpu) / per * 100);
         } else {
             put(kind, "cpu_percent", (used(until, "process_cpu") - used(from, "process_cpu")) / per * 100);
             put(kind, "thread_cpu_percent", (used(until, "thread_cpu") - used(from, "thread_cpu")) / per * 100);
-            put(kind, "start_probes", asked(from.servers, Tally.What.CALLS, false) / many);
+            put(kind, "tunnels_per_s", (used(until, "opened") - used(from, "opened")) / per);
             put(kind, "start_list_bytes", (double) a.get(Tally.What.BYTES_TO) / many);
             put(kind, "probe_connections", asked(until.servers, Tally.What.CONNECTS, false) / many);
         }
@@ -461,7 +465,8 @@
         Histogram all = new Histogram(10_000_000, 3);
         for (JsonNode h : ofHollows) {
             try {
-                all.add(Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(Base64.getDecoder().decode(h.get("decisions").asText())), 0));
+                byte[] bytes = Base64.getDecoder().decode(h.get("decisions").asText());
+                all.add(Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(bytes), 0));
             } catch (DataFormatException e) {
                 throw new IOException("a histogram can't be read", e);
             }
--- a/lab/src/test/java/asterpulley/lab/fleet/ReckoningTest.java
+++ b/lab/src/test/java/asterpulley/lab/fleet/ReckoningTest.java
@@ -1,6 +1,7 @@
 package asterpulley.lab.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
@@ -9,6 +10,8 @@
 import asterpulley.files.Sheet;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
 /** What a fleet run works out without sockets: its timetable, when changes were in force, lines through figures, its room. */
@@ -124,6 +127,28 @@
                 """), SIZE).steps);
     }
 
+    @Test
+    void tunnelsAreDrawnByTheSeedAboutTheirMeans() {
+        Arrivals a = new Arrivals(3, 5, 2, 15);
+        Arrivals same = new Arrivals(3, 5, 2, 15);
+        double gaps = 0;
+        double lives = 0;
+        Set<String> ids = new TreeSet<>();
+        for (int i = 0; i < 20_000; i++) {
+            double gap = a.gap();
+            assertEquals(gap, same.gap());
+            gaps += gap;
+            lives += a.lifetime();
+            same.lifetime();
+            ids.add(a.id());
+        }
+        assertEquals(0.5, gaps / 20_000, 0.02);
+        assertEquals(15, lives / 20_000, 0.6);
+        assertEquals(20_000, ids.size());
+        assertNotEquals(same.gap(), new Arrivals(3, 6, 2, 15).gap());
+        assertTrue(!new Arrivals(3, 5, 0, 15).any());
+    }
+
     @Test
     void callersAtOneVersionAreToldTheSameBytes() {
         Catalog c = new Catalog(plan(""), 12);
@@ -146,7 +171,16 @@
         assertTrue(Room.of(plan, new FleetPlan.Size(400, 100), 1_000, 24_000).hollowProcesses() > 1);
         assertTrue(Room.of(plan, new FleetPlan.Size(6_400, 100), 7_000, 24_000).tooMuch().contains("descriptors"));
         assertTrue(Room.of(plan, new FleetPlan.Size(6_400, 400), 20_000, 8_000).tooMuch().contains("MB"));
+        // Real relays' connections count as well, and are not the same process's as those of hollow ones.
+        plan.real = 8;
         plan.probeConnections = 0;
+        assertNull(Room.of(plan, new FleetPlan.Size(100, 1_600), 20_000, 24_000).tooMuch());
+        plan.real = 20;
+        assertTrue(Room.of(plan, new FleetPlan.Size(100, 1_600), 20_000, 24_000).tooMuch().contains("descriptors"));
+        plan.real = 0;
+        int without = Room.of(plan, new FleetPlan.Size(100, 25), 20_000, 24_000).serverProcesses();
+        plan.real = 1;
+        assertEquals(without + 1, Room.of(plan, new FleetPlan.Size(100, 25), 20_000, 24_000).serverProcesses());
         assertNotNull(Room.of(plan, new FleetPlan.Size(6_400, 400), 20_000, 200_000).tooMuch());
     }
 }
