Laboratory: what deliveries, standing connections and whole lists cost a relay

Cause: only setups and decisions were measured; the largest load of a fleet, what servers send to standing clients, had no figure, nor had a list by its size, the heap of groups, and control traffic by servers. All are bounded and write JSON. The laboratory now waits for the JDK's own tool to be gone after asking it for a heap: a check that no process is left behind failed on that once, on a machine with a load of 70.

--- /dev/null
+++ b/bench/src/main/java/asterpulley/bench/SizeCost.java
@@ -0,0 +1,300 @@
+package asterpulley.bench;
+
+import asterpulley.Balance;
+import asterpulley.Front;
+import asterpulley.Listed;
+import asterpulley.Outcome;
+import asterpulley.Report;
+import asterpulley.Settings;
+import asterpulley.decode.Json;
+import asterpulley.list.Fleet;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.zip.Deflater;
+
+/**
+ * What size costs in process: a whole list by its entries (bytes, time to read it, garbage, what stays), the module's heap by servers and
+ * by groups, and in virtual time how often it seeks and how long its own work for control takes. Figures are of this JVM alone: no socket
+ * is in them.
+ */
+public final class SizeCost {
+    private static final int ROUNDS = 9;
+    private static final int RELAYS = 6_400;
+    private static final double TICK = 0.1;
+
+    private SizeCost() {
+    }
+
+    /** Answers every probe a tick later and counts them. */
+    static final class Counting implements Front {
+        private double now = 1_000;
+        private final ArrayDeque<String> asked = new ArrayDeque<>();
+        private String sent;
+        private long probes;
+
+        @Override
+        public double now() {
+            return now;
+        }
+
+        @Override
+        public void setup(Balance.Tunnel tun, String ep, double timeout) {
+            sent = ep;
+        }
+
+        @Override
+        public void decline(Balance.Tunnel tun, double retryAfter) {
+            throw new IllegalStateException("declined: there is room");
+        }
+
+        @Override
+        public void closeWithError(Balance.Tunnel tun) {
+            throw new IllegalStateException("closed with error");
+        }
+
+        @Override
+        public void move(Balance.Tunnel tun) {
+            throw new IllegalStateException("nobody is crowded here");
+        }
+
+        @Override
+        public void probe(String ep) {
+            asked.add(ep);
+            probes++;
+        }
+
+        @Override
+        public void watch() {
+            // The list stays.
+        }
+
+        @Override
+        public void wake(double after, long token) {
+            // Time is moved from outside.
+        }
+
+        @Override
+        public void log(String line) {
+            // Nobody reads along.
+        }
+    }
+
+    static String text(int entries) {
+        List<Object> hosts = new ArrayList<>();
+        for (int i = 0; i < entries; i++) {
+            Map<String, Object> host = new HashMap<>();
+            host.put("host", "feed-" + i);
+            host.put("dial", "10." + (i >> 14 & 63) + "." + (i >> 7 & 127) + "." + (i & 127) + ":" + 20_000);
+            host.put("site", "zone-" + i % 11);
+            host.put("class", "feed");
+            host.put("block", i / 100);
+            host.put("health", "up");
+            host.put("share", 1.0);
+            host.put("born_ms", 1_796_000_000_000L + i);
+            hosts.add(host);
+        }
+        Map<String, Object> list = new HashMap<>();
+        list.put("seq", 1);
+        list.put("whole", true);
+        list.put("hosts", hosts);
+        return Json.text(list);
+    }
+
+    static Fleet read(String text, Fleet.Names names) throws IOException {
+        try (JsonParser parser = new JsonFactory().createParser(text)) {
+            parser.nextToken();
+            return Fleet.read(Json.object(Json.value(parser), "the list"), names);
+        }
+    }
+
+    static List<Listed> fleet(int servers) {
+        List<Listed> listed = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            listed.add(new Listed("feed-" + i, i % 11, 0, i / 100, Listed.State.RUNNING, Double.NEGATIVE_INFINITY));
+        }
+        return listed;
+    }
+
+    static Balance module(int servers, boolean groups, Counting front) {
+        Settings settings = new Settings();
+        settings.profiles.add(new Settings.Profile());
+        settings.probesAllowed = true;
+        settings.groupsShareWork = groups;
+        settings.siblings = RELAYS;
+        Balance balance = new Balance(settings, 1, front);
+        balance.list(fleet(servers), true);
+        return balance;
+    }
+
+    /** Bytes in use after collections. */
+    static long used() {
+        Runtime runtime = Runtime.getRuntime();
+        long least = Long.MAX_VALUE;
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+            least = Math.min(least, runtime.totalMemory() - runtime.freeMemory());
+        }
+        return least;
+    }
+
+    static long allocated() {
+        return ((com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean())
+                .getThreadAllocatedBytes(Thread.currentThread().getId());
+    }
+
+    /** What stays in use of a module with so many groups of one standing tunnel each, per group. */
+    static double bytesPerGroup(int servers, int groups) {
+        Balance balance = module(servers, true, new Counting());
+        List<Balance.Tunnel> tunnels = new ArrayList<>();
+        long before = used();
+        for (int g = 0; g < groups; g++) {
+            String group = "topic-" + g;
+            // As on a return: it stands where it stood, and a second one of the group is placed by the module.
+            tunnels.add(balance.standing(2L * g, 0, 0, group, null, "feed-" + g % servers));
+        }
+        double standing = used() - before;
+        balance.hashCode();
+        tunnels.size();
+        return standing / groups;
+    }
+
+    /** The same where the module chose the server, and so has put the fleet in the group's order. */
+    static double bytesPerPlacedGroup(int servers, int groups) {
+        Counting front = new Counting();
+        Balance balance = module(servers, true, front);
+        Report report = new Report();
+        report.load = 0.3;
+        report.held = 1_000;
+        for (int s = 0; s < servers; s++) {
+            balance.probed("feed-" + s, Outcome.OK, report);
+        }
+        List<Balance.Tunnel> tunnels = new ArrayList<>();
+        long before = used();
+        for (int g = 0; g < groups; g++) {
+            front.sent = null;
+            Balance.Tunnel tunnel = balance.take(g, 0, 0, "topic-" + g, null, 2, false);
+            if (front.sent != null) {
+                tunnel.opened(0, 0.02);
+                tunnels.add(tunnel);
+            }
+        }
+        double bytes = used() - before;
+        if (tunnels.size() < groups) {
+            throw new IllegalStateException("only " + tunnels.size() + " of " + groups + " were placed");
+        }
+        balance.hashCode();
+        return bytes / groups;
+    }
+
+    /** Seeks a second and the part of a core that ticks and reports take, with tunnels at the first so many servers. */
+    static double[] control(int servers, int used, double seconds) {
+        Counting front = new Counting();
+        Balance balance = module(servers, false, front);
+        List<Balance.Tunnel> tunnels = new ArrayList<>();
+        for (int s = 0; s < used; s++) {
+            tunnels.add(balance.standing(s, 0, 0, null, null, "feed-" + s));
+        }
+        Report report = new Report();
+        report.load = 0.3;
+        report.held = 1_000;
+        double warm = 30;
+        long from = 0;
+        long probes = 0;
+        double begin = front.now;
+        for (double end = begin + warm + seconds; front.now < end; front.now += TICK) {
+            if (from == 0 && front.now >= begin + warm) {
+                from = System.nanoTime();
+                probes = front.probes;
+            }
+            for (int n = front.asked.size(); n > 0; n--) {
+                balance.probed(front.asked.poll(), Outcome.OK, report);
+            }
+            balance.woke(0);
+        }
+        tunnels.size();
+        return new double[] {(front.probes - probes) / seconds, (System.nanoTime() - from) / 1e9 / seconds};
+    }
+
+    /** Bytes of that text where it were sent compressed, which nothing does today. */
+    static int deflated(String text) {
+        Deflater deflater = new Deflater();
+        deflater.setInput(text.getBytes(StandardCharsets.UTF_8));
+        deflater.finish();
+        byte[] into = new byte[text.length() + 64];
+        int size = 0;
+        while (!deflater.finished()) {
+            size += deflater.deflate(into);
+        }
+        deflater.end();
+        return size;
+    }
+
+    private static String spread(double[] of) {
+        double[] sorted = of.clone();
+        Arrays.sort(sorted);
+        return String.format(Locale.ROOT, "%.2f (%.2f, %.2f)", sorted[sorted.length / 2], sorted[0], sorted[sorted.length - 1]);
+    }
+
+    public static void main(String[] args) throws IOException {
+        Fleet.Names names = new Fleet.Names(Map.of("zones", List.of(), "models", List.of()));
+        System.out.printf(Locale.ROOT, "%8s %10s %8s %10s %24s %14s %14s%n", "entries", "bytes", "an entry", "deflated", "read, ms (least, most)",
+                "garbage, MB", "kept, MB");
+        for (int entries : new int[] {100, 1_000, 4_000, 10_000, 100_000}) {
+            String text = text(entries);
+            double[] took = new double[ROUNDS];
+            for (int warm = 0; warm < Math.max(2, 30_000 / entries); warm++) {
+                read(text, names);
+            }
+            long garbage = 0;
+            for (int i = 0; i < ROUNDS; i++) {
+                long before = allocated();
+                long from = System.nanoTime();
+                read(text, names);
+                took[i] = (System.nanoTime() - from) / 1e6;
+                garbage = allocated() - before;
+            }
+            long before = used();
+            Fleet kept = read(text, names);
+            long after = used();
+            System.out.printf(Locale.ROOT, "%8d %10d %8.1f %10d %24s %14.2f %14.2f%n", kept.servers().size(), text.length(),
+                    text.length() / (double) entries, deflated(text), spread(took), garbage / 1e6, (after - before) / 1e6);
+        }
+        System.out.printf(Locale.ROOT, "%n%8s %18s %22s%n", "servers", "module, MB", "bytes a listed server");
+        for (int servers : new int[] {100, 1_000, 4_000, 10_000, 100_000}) {
+            List<Listed> listed = fleet(servers);
+            long before = used();
+            Balance balance = module(servers, false, new Counting());
+            long bytes = used() - before;
+            balance.hashCode();
+            listed.size();
+            System.out.printf(Locale.ROOT, "%8d %18.2f %22.0f%n", servers, bytes / 1e6, bytes / (double) servers);
+        }
+        System.out.printf(Locale.ROOT, "%n%8s %8s %26s %26s%n", "servers", "groups", "bytes a group, reopened", "bytes a group, placed");
+        for (int[] of : new int[][] {{100, 2_000}, {400, 2_000}, {1_000, 2_000}, {4_000, 2_000}, {4_000, 4_000}, {10_000, 2_000}}) {
+            System.out.printf(Locale.ROOT, "%8d %8d %26.0f %26.0f%n", of[0], of[1], bytesPerGroup(of[0], of[1]),
+                    bytesPerPlacedGroup(of[0], of[1]));
+        }
+        System.out.printf(Locale.ROOT, "%n%8s %8s %20s %34s%n", "servers", "used", "probes a second", "core share of ticks and reports");
+        for (int[] of : new int[][] {{10, 10}, {100, 100}, {400, 400}, {400, 37}, {1_000, 1_000}, {1_000, 91}, {4_000, 4_000}, {4_000, 364},
+                {10_000, 909}}) {
+            double[] share = new double[3];
+            double probes = 0;
+            for (int i = 0; i < share.length; i++) {
+                double[] one = control(of[0], of[1], of[0] > 1_000 ? 6 : 20);
+                probes = one[0];
+                share[i] = one[1] * 100;
+            }
+            System.out.printf(Locale.ROOT, "%8d %8d %20.1f %32s %%%n", of[0], of[1], probes, spread(share));
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/asterpulley/bench/SizeCostTest.java
@@ -0,0 +1,48 @@
+package asterpulley.bench;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import asterpulley.Listed;
+import asterpulley.list.Fleet;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What the size tool measures is what relays read and do. */
+class SizeCostTest {
+    @Test
+    void theListIsReadAsRelaysReadIt() throws IOException {
+        String text = SizeCost.text(50);
+        Fleet fleet = SizeCost.read(text, new Fleet.Names(Map.of("zones", List.of(), "models", List.of())));
+        assertTrue(fleet.whole());
+        assertEquals(50, fleet.servers().size());
+        assertEquals(50, fleet.dials().size());
+        assertEquals(11, fleet.servers().stream().map(Listed::zone).distinct().count());
+        assertTrue(fleet.servers().stream().allMatch(l -> l.state() == Listed.State.RUNNING));
+        assertTrue(SizeCost.deflated(text) < text.length());
+    }
+
+    @Test
+    void seeksAreCountedByServersThatAreUsed() {
+        double all = SizeCost.control(100, 100, 10)[0];
+        double few = SizeCost.control(100, 10, 10)[0];
+        // A used server is sought every 0.4 s and a little, another eight times less often.
+        assertTrue(all > 120 && all <= 250, Double.toString(all));
+        assertTrue(few > 20 && few < all / 2, few + " of " + all);
+    }
+
+    @Test
+    void whatStaysIsCounted() {
+        long before = SizeCost.used();
+        // In small pieces: a collector may give a large array whole regions of its own.
+        byte[][] kept = new byte[8192][1024];
+        long more = SizeCost.used() - before;
+        long bytes = (long) kept.length * kept[0].length;
+        assertTrue(more > bytes * 0.9 && more < bytes * 1.2, Long.toString(more));
+        double group = SizeCost.bytesPerGroup(100, 2_000);
+        // A standing tunnel, its group's name and count.
+        assertTrue(group > 100 && group < 5_000, Double.toString(group));
+    }
+}
--- a/cli/src/main/java/asterpulley/cli/LabCommand.java
+++ b/cli/src/main/java/asterpulley/cli/LabCommand.java
@@ -9,7 +9,9 @@
 import asterpulley.lab.report.Reports;
 import asterpulley.lab.report.Tables;
 import asterpulley.lab.sock.Cost;
+import asterpulley.lab.sock.Deliveries;
 import asterpulley.lab.sock.LoadTool;
+import asterpulley.lab.sock.Starts;
 import asterpulley.net.Addresses;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -25,7 +27,8 @@
 
 /** The laboratory's commands. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Plays experiments, drives load, measures cost.",
-        subcommands = {LabCommand.Run.class, LabCommand.Load.class, LabCommand.Costs.class})
+        subcommands = {LabCommand.Run.class, LabCommand.Load.class, LabCommand.Costs.class, LabCommand.Deliver.class,
+            LabCommand.Start.class})
 final class LabCommand implements Callable<Integer> {
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -204,12 +207,21 @@
         @Option(names = "--standing", defaultValue = "4000", description = "Tunnels for the memory; ${DEFAULT-VALUE}.")
         private int standing;
 
+        @Option(names = "--servers", defaultValue = "5", description = "Servers in the relay's list; ${DEFAULT-VALUE}.")
+        private int servers;
+
         @Option(names = "--json", paramLabel = "FILE", description = "Writes the figures as JSON.")
         private Path json;
 
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
         @Override
         public Integer call() throws IOException {
-            Map<String, Object> figures = Cost.measure(rate, seconds, rounds, standing, System.out);
+            if (servers < 1 || servers > 20_000) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "--servers: 1 to 20000");
+            }
+            Map<String, Object> figures = Cost.measure(rate, seconds, rounds, standing, servers, System.out);
             print(figures);
             if (json != null) {
                 Files.write(json, JSON.writeValueAsBytes(figures));
@@ -218,6 +230,119 @@
         }
     }
 
+    /** Measures deliveries. */
+    @Command(name = "deliver", mixinStandardHelpOptions = true, description = {
+        "Measures what a relay pays for the lines that servers send to standing clients: processor time a line by size, rate",
+        "and connections; heap a connection; and a line to all at once. Lists are separated by commas."})
+    static final class Deliver implements Callable<Integer> {
+        /** Relay, servers and clients each hold a socket or two a connection. */
+        private static final int MOST_STANDING = 20_000;
+        private static final double LONGEST = 300;
+
+        @Option(names = "--standing", split = ",", defaultValue = "100,1000", paramLabel = "N", description = "Connections that stand; ${DEFAULT-VALUE}.")
+        private List<Integer> standing;
+
+        @Option(names = "--sizes", split = ",", defaultValue = "64,256,1024,4096", paramLabel = "BYTES", description = "Bytes of a line; ${DEFAULT-VALUE}.")
+        private List<Integer> sizes;
+
+        @Option(names = "--rates", split = ",", defaultValue = "5000", paramLabel = "N", description = "Lines a second, to all connections together; ${DEFAULT-VALUE}.")
+        private List<Double> rates;
+
+        @Option(names = "--round-s", defaultValue = "1.5", description = "Seconds a round; ${DEFAULT-VALUE}.")
+        private double seconds;
+
+        @Option(names = "--servers", split = ",", defaultValue = "5", paramLabel = "N", description = "Servers in the relay's list; ${DEFAULT-VALUE}.")
+        private List<Integer> servers;
+
+        @Option(names = "--quiet-s", defaultValue = "10", description = "Seconds in which nothing is sent; ${DEFAULT-VALUE}.")
+        private double quiet;
+
+        @Option(names = "--rounds", defaultValue = "3", description = "Rounds, 0 for none; ${DEFAULT-VALUE}.")
+        private int rounds;
+
+        @Option(names = "--bursts", defaultValue = "5", description = "Lines to all at once, 0 for none; ${DEFAULT-VALUE}.")
+        private int bursts;
+
+        @Option(names = "--json", paramLabel = "FILE", description = "Writes the figures as JSON.")
+        private Path json;
+
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            Deliveries.Order order = new Deliveries.Order();
+            order.servers = servers;
+            order.standing = standing;
+            order.sizes = sizes;
+            order.rates = rates;
+            order.quiet = quiet;
+            order.seconds = seconds;
+            order.rounds = rounds;
+            order.bursts = bursts;
+            if (!(Deliveries.within(standing, 1, MOST_STANDING) && Deliveries.within(rates, 1, 100_000) && seconds > 0 && quiet > 0
+                    && rounds >= 0 && bursts >= 0 && Deliveries.within(servers, 1, MOST_STANDING) && Deliveries.within(sizes, Deliveries.SMALLEST, Deliveries.LARGEST))) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "up to " + MOST_STANDING + " connections, lines of "
+                        + Deliveries.SMALLEST + " to " + Deliveries.LARGEST + " bytes, up to 100000 a second, and nothing below 0");
+            }
+            if (order.length() > LONGEST) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "this would take " + Math.round(order.length())
+                        + " s; more than " + Math.round(LONGEST) + " s are to be several runs");
+            }
+            Map<String, Object> figures = Deliveries.measure(order, System.out);
+            if (json != null) {
+                Files.write(json, JSON.writeValueAsBytes(figures));
+            }
+            return verdict(figures, "kept_pace", "no verdict: this tool could not keep its own pace, or lines were lost");
+        }
+    }
+
+    /** Measures whole lists. */
+    @Command(name = "start", mixinStandardHelpOptions = true, description = {
+        "Measures what a whole list of servers costs a relay: the time of a start that is handed one, the time that one of",
+        "discovery's keeps it busy, and memory. Lists are separated by commas."})
+    static final class Start implements Callable<Integer> {
+        @Option(names = "--entries", split = ",", defaultValue = "100,1000,10000", paramLabel = "N", description = "Servers in the list; ${DEFAULT-VALUE}.")
+        private List<Integer> entries;
+
+        @Option(names = "--rounds", defaultValue = "3", description = "Starts of each; ${DEFAULT-VALUE}.")
+        private int rounds;
+
+        @Option(names = "--memory-mb", defaultValue = "128", description = "The relay's memory; ${DEFAULT-VALUE}.")
+        private int memory;
+
+        @Option(names = "--json", paramLabel = "FILE", description = "Writes the figures as JSON.")
+        private Path json;
+
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            if (!(Deliveries.within(entries, 1, 200_000) && rounds > 0 && rounds <= 20 && memory >= 64 && memory <= 4096)) {
+                throw new CommandLine.ParameterException(spec.commandLine(),
+                        "1 to 200000 entries, 1 to 20 rounds, 64 to 4096 MB");
+            }
+            Starts.Order order = new Starts.Order();
+            order.entries = entries;
+            order.rounds = rounds;
+            order.memory = memory;
+            Map<String, Object> figures = Starts.measure(order, System.out);
+            if (json != null) {
+                Files.write(json, JSON.writeValueAsBytes(figures));
+            }
+            return verdict(figures, "all_ready", "a relay did not become ready, or did not take the list");
+        }
+    }
+
+    private static int verdict(Map<String, Object> figures, String figure, String otherwise) {
+        boolean good = Boolean.TRUE.equals(figures.get(figure));
+        if (!good) {
+            System.out.println(otherwise);
+        }
+        return good ? Main.DONE : Main.FELL_SHORT;
+    }
+
     private static void print(Map<String, Object> figures) {
         figures.forEach((k, v) -> System.out.printf("%-28s %s%n", k, v instanceof Double d ? Tables.plain(d) : v));
     }
--- a/cli/src/test/java/asterpulley/cli/CommandTest.java
+++ b/cli/src/test/java/asterpulley/cli/CommandTest.java
@@ -61,7 +61,7 @@
 
     @TestFactory
     Stream<DynamicTest> everyCommandHelpsAndBadUsageIsTwo() {
-        return Stream.of("", "serve", "drill", "check", "lab", "lab run", "lab load", "lab cost", "completion", "routes", "routes explain")
+        return Stream.of("", "serve", "drill", "check", "lab", "lab run", "lab load", "lab cost", "lab deliver", "lab start", "completion", "routes", "routes explain")
                 .map(c -> DynamicTest.dynamicTest("'" + c + "'", () -> {
                     String[] words = c.isEmpty() ? new String[0] : c.split(" ");
                     assertEquals(0, run(Stream.concat(Stream.of(words), Stream.of("--help")).toArray(String[]::new)), out);
@@ -121,6 +121,15 @@
         assertEquals(2, run("lab", "load", "--to", "127.0.0.1:9", "--rate", "-1"));
     }
 
+    @Test
+    void measuringIsBounded() {
+        for (String wrong : List.of("deliver --sizes 16", "deliver --standing 0", "deliver --standing 30000", "deliver --rates 0",
+                "deliver --quiet-s 0", "deliver --standing 100,1000,5000 --rates 1000,2000,5000 --rounds 10 --round-s 5",
+                "start --entries 0", "start --memory-mb 8", "start --rounds 0", "cost --servers 0")) {
+            assertEquals(2, run(("lab " + wrong).split(" ")), wrong + ": " + out);
+        }
+    }
+
     @Test
     void logsAsJsonAreOneObjectALine() throws IOException {
         LogRecord record = new LogRecord(Level.SEVERE, "a \"line\"\nof two");
--- a/lab/src/main/java/asterpulley/lab/sock/Cost.java
+++ b/lab/src/main/java/asterpulley/lab/sock/Cost.java
@@ -64,12 +64,13 @@
         }
     }
 
-    public static Map<String, Object> measure(double rate, double seconds, int rounds, int standing, PrintStream out)
+    /** {@code names}: servers in the relay's list, for which the same few stand-ins answer. */
+    public static Map<String, Object> measure(double rate, double seconds, int rounds, int standing, int names, PrintStream out)
             throws IOException {
-        return new Cost(out).run(rate, seconds, rounds, standing);
+        return new Cost(out).run(rate, seconds, rounds, standing, names);
     }
 
-    private Map<String, Object> run(double rate, double seconds, int rounds, int standing) throws IOException {
+    private Map<String, Object> run(double rate, double seconds, int rounds, int standing, int names) throws IOException {
         Path folder = Files.createTempDirectory("asterpulley-cost");
         Pump stage = new Pump();
         for (int i = 0; i < SERVERS; i++) {
@@ -88,12 +89,12 @@
         thread.start();
         InetSocketAddress at = new InetSocketAddress(here, 9_000);
         Map<String, Object> all = new LinkedHashMap<>();
-        RelayProcess relay = RelayProcess.start(folder, "cost", config(at, SERVERS), 512, at);
+        RelayProcess relay = RelayProcess.start(folder, "cost", config(at, names), 512, at);
         try {
             ready(at);
             compare(at, relay, rate, seconds, rounds, all);
             relay.kill();
-            relay = RelayProcess.start(folder, "memory", config(at, NAMES), 512, at);
+            relay = RelayProcess.start(folder, "memory", config(at, Math.max(NAMES, names)), 512, at);
             ready(at);
             memory(at, relay, standing, all);
             return all;
--- a/lab/src/main/java/asterpulley/lab/sock/RelayProcess.java
+++ b/lab/src/main/java/asterpulley/lab/sock/RelayProcess.java
@@ -121,7 +121,14 @@
 
     private static String run(String... command) throws IOException {
         Process p = new ProcessBuilder(command).redirectErrorStream(true).start();
-        return new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String said = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        try {
+            // It has said all, and is gone in a moment: it must not be left behind either.
+            p.waitFor(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return said;
     }
 
     /** Seconds of processor time so far. */
--- /dev/null
+++ b/lab/src/test/java/asterpulley/lab/sock/DeliveriesTest.java
@@ -0,0 +1,99 @@
+package asterpulley.lab.sock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The tools that measure deliveries and whole lists, against real relay processes, at a small size. */
+@Timeout(60)
+class DeliveriesTest {
+    private final ByteArrayOutputStream said = new ByteArrayOutputStream();
+    private final PrintStream out = new PrintStream(said, true, StandardCharsets.UTF_8);
+
+    @SuppressWarnings("unchecked")
+    private static List<Map<String, Object>> rows(Map<String, Object> figures, String name) {
+        return (List<Map<String, Object>>) figures.get(name);
+    }
+
+    private static double figure(Map<String, Object> row, String name) {
+        return ((Number) row.get(name)).doubleValue();
+    }
+
+    @Test
+    void aLineHasItsSizeAndTellsWhenItWasWritten() {
+        for (int size : new int[] {Deliveries.SMALLEST, 64, 1000, Deliveries.LARGEST}) {
+            byte[] line = Deliveries.line(123_456_789_012L, size);
+            assertEquals(size, line.length);
+            String text = new String(line, StandardCharsets.ISO_8859_1);
+            assertTrue(text.endsWith("x\r\n"));
+            assertEquals(-1, text.substring(0, size - 2).indexOf('\n'));
+            assertEquals(123_456_789_012L, Deliveries.written(text.substring(0, size - 2)));
+        }
+        assertEquals(-1, Deliveries.written("UP s"));
+        assertEquals(-1, Deliveries.written("MOVE"));
+    }
+
+    @Test
+    void everyLineThatServersSendIsMeasuredThroughARealRelay() throws IOException {
+        Deliveries.Order order = new Deliveries.Order();
+        order.standing = List.of(40);
+        order.servers = List.of(20);
+        order.sizes = List.of(64, 1500);
+        order.rates = List.of(400.0);
+        order.quiet = 1.5;
+        order.seconds = 0.5;
+        order.rounds = 2;
+        order.bursts = 2;
+        Map<String, Object> figures = Deliveries.measure(order, out);
+        assertEquals(0L, figures.get("lost"), said.toString());
+        assertEquals(2, rows(figures, "paced").size());
+        for (Map<String, Object> row : rows(figures, "paced")) {
+            assertEquals(row.get("lines"), row.get("measured"), said.toString());
+            // Two rounds of half a second; a busy machine may keep less of the rate, never more than it makes up for.
+            assertTrue(figure(row, "lines") > 100 && figure(row, "lines") < 500, row.toString());
+            assertTrue(figure(row, "p99_ms") >= figure(row, "p50_ms") && figure(row, "p50_ms") > 0, row.toString());
+        }
+        Map<String, Object> standing = rows(figures, "standing").get(0);
+        // Twenty servers that are used are each sought every 0.4 s and a little.
+        assertTrue(figure(standing, "probes_per_s") > 20 && figure(standing, "probes_per_s") < 60, standing.toString());
+        Map<String, Object> burst = rows(figures, "bursts").get(0);
+        assertTrue(figure(burst, "through_last_ms") >= figure(burst, "through_p99_ms") * 0.9, burst.toString());
+        assertTrue(figure(burst, "direct_last_ms") > 0, burst.toString());
+        assertEquals(0, ProcessHandle.current().children().filter(ProcessHandle::isAlive).count());
+    }
+
+    @Test
+    void aStartIsTimedWithTheListHandedToItAndWithOneOfDiscoverys() throws IOException {
+        Starts.Order order = new Starts.Order();
+        order.entries = List.of(300);
+        order.rounds = 1;
+        Map<String, Object> figures = Starts.measure(order, out);
+        assertEquals(true, figures.get("all_ready"), said.toString());
+        Map<String, Object> row = rows(figures, "starts").get(0);
+        assertTrue(figure(row, "bytes_per_entry") > 100 && figure(row, "bytes_per_entry") < 200, row.toString());
+        assertTrue(figure(row, "handed_ready_ms") > 20 && figure(row, "asked_ready_ms") >= figure(row, "asked_taken_ms"), row.toString());
+        assertTrue(figure(row, "asked_taken_ms") > 0, row.toString());
+        assertEquals(0, ProcessHandle.current().children().filter(ProcessHandle::isAlive).count());
+    }
+
+    @Test
+    void aRelayThatCannotListenIsSaidAndLeavesNoProcessBehind() throws IOException {
+        Deliveries.Order order = new Deliveries.Order();
+        try (ServerSocket taken = new ServerSocket(Deliveries.PORT, 1, Sockets.ownAddress())) {
+            assertTrue(taken.isBound());
+            IOException said = assertThrows(IOException.class, () -> Deliveries.measure(order, out));
+            assertEquals("the relay ended by itself", said.getMessage());
+        }
+        assertEquals(0, ProcessHandle.current().children().filter(ProcessHandle::isAlive).count());
+    }
+}
