--- a/core/src/main/java/asterpulley/Balance.java
+++ b/core/src/main/java/asterpulley/Balance.java
@@ -656,11 +656,11 @@
         if (!cold(s, now)) {
             return true;
         }
-        // New tunnels may fill it over its warm-up, times the multiple; half of what makes it fall may stand.
+        // New tunnels may fill it, warm, over its warm-up, times the multiple; half of what makes it fall may stand.
         double sent = recent.get(s).stream().mapToDouble(p -> p.at > now - set.fallTime ? p.work : 0).sum();
         double untold = Math.max(0, extra[s] * capacity(s)), part = coldPart(s);
-        double room = Math.min(part * Math.min(0.5, COLD_SHARE * set.fallTime / set.coldTime) - sent,
-                part * (0.5 - load[s] / set.fallMultiple) - untold);
+        double fills = part / warmth(s, now) * COLD_SHARE * set.fallTime / set.coldTime;
+        double room = Math.min(Math.min(part / 2, fills) - sent, part * (0.5 - load[s] / set.fallMultiple) - untold);
         // Rounded by a dither: of many relays each sends a whole tunnel or none, and the parts still sum up.
         return work * (1 - dither[s]) <= room;
     }
