--- a/relay/src/test/java/asterpulley/serve/ReturnTest.java
+++ b/relay/src/test/java/asterpulley/serve/ReturnTest.java
@@ -114,7 +114,8 @@
                 }
                 switch (met) {
                     case REFUSES -> end.say(REFUSED);
-                    case RESETS -> end.reset();
+                    // Down also for who was let in just as it went down.
+                    case RESETS, DOWN, FULL -> end.reset();
                     case CUT -> end.say("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"seq\":42,");
                     case MALFORMED -> end.say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"seq\":{}");
                     case SILENT -> end.line();
@@ -203,14 +204,14 @@
             version++;
             entries = String.join(",", list);
             notifyAll();
-            boolean down = trouble == Trouble.DOWN;
-            if (down) {
+            Trouble was = trouble;
+            trouble = then;
+            if (was == Trouble.DOWN) {
                 listening = again(50);
             }
-            if (down || trouble == Trouble.FULL) {
+            if (was == Trouble.DOWN || was == Trouble.FULL) {
                 accept(listening);
             }
-            trouble = then;
             return System.nanoTime();
         }
     }
