--- a/lab/src/main/java/asterpulley/lab/sock/Starts.java
+++ b/lab/src/main/java/asterpulley/lab/sock/Starts.java
@@ -94,7 +94,7 @@
         try {
             for (int entries : order.entries) {
                 Map<String, Object> row = Told.map("entries", entries);
-                double bytes = ListStandIn.text(list(entries, 5)).length();
+                double bytes = WorldList.text(list(entries, 5)).length();
                 row.put("list_bytes", bytes);
                 row.put("bytes_per_entry", bytes / entries);
                 good &= rounds(folder, list, entries, false, row);
@@ -158,7 +158,7 @@
     }
 
     private static byte[] answer(Map<String, Object> list) {
-        String body = ListStandIn.text(list);
+        String body = WorldList.text(list);
         return ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                 .getBytes(StandardCharsets.ISO_8859_1);
     }
