--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -8,7 +8,7 @@
     private static final double LINE_EVERY_SECONDS = 2;
 
     /** The station groups to which clients belong. */
-    private static final int GROUPS = 12;
+    private static final int GROUPS = 40;
 
     final String id;
     final String name;
--- a/review/src/FeedServer.java
+++ b/review/src/FeedServer.java
@@ -53,6 +53,10 @@
         return openings.stream().filter(at -> at >= from && at < to).count();
     }
 
+    List<Double> openedAfter(double time) {
+        return openings.stream().filter(at -> at > time).toList();
+    }
+
     /** The process ends: its connections are reset and new ones refused. */
     void stop() {
         stopped = true;
