--- a/review/src/Discovery.java
+++ b/review/src/Discovery.java
@@ -17,20 +17,17 @@
     private final Map<String, String> entries = new LinkedHashMap<>();
     private final TreeMap<Integer, String> changes = new TreeMap<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
-    private final Map<String, Double> toldAt = new HashMap<>();
-    private final int port;
-    private ServerSocket listener;
+    private final ServerSocket listener;
     private int version = 40;
     private boolean down;
 
     Discovery() throws IOException {
         listener = Net.listen();
-        port = listener.getLocalPort();
-        accept(listener);
+        Net.daemon(this::accept);
     }
 
     int port() {
-        return port;
+        return listener.getLocalPort();
     }
 
     static String entry(String host, String dial, String site, String health, long bornMs) {
@@ -69,58 +66,41 @@
         }
     }
 
-    /** When a caller was first told this state of a server; below 0: never. */
-    synchronized double toldAt(String host, String health) {
-        return toldAt.getOrDefault(host + " " + health, -1.0);
-    }
-
-    private synchronized void noteTold(String body) {
-        entries.forEach(
-                (host, entry) -> {
-                    if (body.contains(entry)) {
-                        String health = entry.replaceAll(".*\"health\":\"([a-z]+)\".*", "$1");
-                        toldAt.putIfAbsent(host + " " + health, Record.now());
-                    }
-                });
-    }
-
-    /** Goes down: open connections are reset, new ones are refused. */
-    void goDown() throws IOException {
+    /** Goes down: open connections are reset, and new ones as they come. */
+    void goDown() {
         synchronized (this) {
             down = true;
             notifyAll();
         }
-        listener.close();
         connections.forEach(Net::reset);
         Record.line("discovery is down");
     }
 
     /** Can be reached again, with the list as it is by now. */
-    void comeBack() throws IOException {
-        synchronized (this) {
-            down = false;
-        }
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(new java.net.InetSocketAddress(Net.HOST, port), 512);
-        accept(listener);
+    synchronized void comeBack() {
+        down = false;
         Record.line("discovery can be reached again");
     }
 
-    private void accept(ServerSocket from) {
-        Net.daemon(
-                () -> {
-                    while (!from.isClosed()) {
-                        try {
-                            Socket socket = from.accept();
-                            socket.setTcpNoDelay(true);
-                            connections.add(socket);
-                            Net.daemon(() -> serve(socket));
-                        } catch (IOException e) {
-                            return;
-                        }
-                    }
-                });
+    private synchronized boolean isDown() {
+        return down;
+    }
+
+    private void accept() {
+        while (true) {
+            try {
+                Socket socket = listener.accept();
+                if (isDown()) {
+                    Net.reset(socket);
+                    continue;
+                }
+                socket.setTcpNoDelay(true);
+                connections.add(socket);
+                Net.daemon(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
     }
 
     private void serve(Socket socket) {
@@ -141,11 +121,9 @@
                 } else {
                     body = whole();
                 }
-                synchronized (this) {
-                    if (down) {
-                        Net.reset(socket);
-                        return;
-                    }
+                if (isDown()) {
+                    Net.reset(socket);
+                    return;
                 }
                 byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
                 out.write(
@@ -153,7 +131,6 @@
                                 .getBytes(StandardCharsets.US_ASCII));
                 out.write(bytes);
                 out.flush();
-                noteTold(body);
                 Record.line("discovery told caller " + socket.getPort() + ": " + body);
             }
         } catch (IOException | InterruptedException e) {
--- a/review/src/DrainAtReturn.java
+++ b/review/src/DrainAtReturn.java
@@ -41,7 +41,7 @@
         }
         for (Relay relay : relays) {
             if (!relay.awaitReady(30)) {
-                Case.end(2, "the case could not run: relay " + relay.label + " was not ready");
+                Case.end(Case.NOT_RUN, "the case could not run: relay " + relay.label + " was not ready");
             }
             Net.daemon(() -> comeAndGo(relay, clients, coming));
         }
@@ -85,9 +85,9 @@
                 + ", tries sent to them after the grace " + tries + " " + broken + "; clients " + clients.size() + ", opened "
                 + opened;
         if (opened < clients.size() / 2) {
-            Case.end(2, "the case could not run: " + counts);
+            Case.end(Case.NOT_RUN, "the case could not run: " + counts);
         }
-        Case.end(tries > 0 ? 1 : 0, (tries > 0 ? "rule broken: " : "rule held: ") + counts);
+        Case.end(tries > 0 ? Case.BROKEN : Case.HELD, (tries > 0 ? "rule broken: " : "rule held: ") + counts);
     }
 
     private static void comeAndGo(Relay relay, List<Client> clients, AtomicBoolean coming) {
--- a/review/src/FeedServer.java
+++ b/review/src/FeedServer.java
@@ -25,7 +25,6 @@
     private final Set<Socket> tunnels = ConcurrentHashMap.newKeySet();
     private final AtomicInteger receipts = new AtomicInteger();
     private final List<Double> openings = new CopyOnWriteArrayList<>();
-    private volatile boolean stopped;
     private volatile boolean draining;
 
     /** {@code blockBytes}: 0 for a server that streams nothing. */
@@ -48,36 +47,25 @@
         Record.line("server " + host + " drains, tunnels on it " + tunnels.size());
     }
 
-    /** How many tries came whole from one time to another, turned away or not. */
-    long openedBetween(double from, double to) {
-        return openings.stream().filter(at -> at >= from && at < to).count();
-    }
-
+    /** The times, later than {@code time}, at which connections came that brought a try, turned away or not. */
     List<Double> openedAfter(double time) {
         return openings.stream().filter(at -> at > time).toList();
     }
 
-    /** The process ends: its connections are reset and new ones refused. */
-    void stop() {
-        stopped = true;
-        Net.close(listener);
-        Record.line("server " + host + " stops, tunnels on it " + tunnels.size());
-        tunnels.forEach(Net::reset);
-    }
-
     private void accept() {
-        while (!listener.isClosed()) {
+        while (true) {
             try {
                 Socket socket = listener.accept();
                 socket.setTcpNoDelay(true);
-                Net.daemon(() -> serve(socket));
+                double cameAt = Record.now();
+                Net.daemon(() -> serve(socket, cameAt));
             } catch (IOException e) {
                 return;
             }
         }
     }
 
-    private void serve(Socket socket) {
+    private void serve(Socket socket, double cameAt) {
         try (socket) {
             Net.LineReader reader = new Net.LineReader(socket);
             OutputStream out = socket.getOutputStream();
@@ -87,6 +75,7 @@
                 } else if (line.equals("STATS")) {
                     out.write(Net.line("PONG " + report()));
                 } else if (line.startsWith("OPEN ")) {
+                    openings.add(cameAt);
                     open(socket, reader, line.split(" ")[1]);
                     return;
                 } else {
@@ -106,7 +95,6 @@
     }
 
     private void open(Socket socket, Net.LineReader reader, String id) throws IOException {
-        openings.add(Record.now());
         if (draining) {
             Record.line("server " + host + " drains and turned away " + id);
             socket.getOutputStream().write(Net.line("BUSY"));
@@ -139,7 +127,7 @@
     /** Readings one after the other, each a line of 60 to 120 bytes, until the connection ends. */
     private void stream(Socket socket, OutputStream out) {
         try {
-            for (int number = 1; !socket.isClosed() && !stopped; number++) {
+            for (int number = 1; !socket.isClosed(); number++) {
                 String reading =
                         "READING " + number + " buoy-" + (number * 7919 % 113) + " " + "0".repeat(40 + number * 31 % 60);
                 synchronized (out) {
--- a/review/src/PiecesAtRestart.java
+++ b/review/src/PiecesAtRestart.java
@@ -31,7 +31,7 @@
         }
         for (Relay relay : relays) {
             if (!relay.awaitReady(30)) {
-                Case.end(2, "the case could not run: relay " + relay.label + " was not ready");
+                Case.end(Case.NOT_RUN, "the case could not run: relay " + relay.label + " was not ready");
             }
         }
         List<Client> clients = new ArrayList<>();
@@ -43,7 +43,7 @@
             Net.sleep(0.2);
         }
         if (clients.size() < CLIENTS / 2) {
-            Case.end(2, "the case could not run: only " + clients.size() + " of " + CLIENTS + " are up");
+            Case.end(Case.NOT_RUN, "the case could not run: only " + clients.size() + " of " + CLIENTS + " are up");
         }
         Net.sleep(5);
         long early = clients.stream().filter(Client::cutOff).count();
@@ -67,8 +67,8 @@
         String counts = "up " + clients.size() + ", told MOVE " + moved + ", cut off without MOVE " + cut + " (before the "
                 + "restart " + early + "), still standing " + standing;
         if (cut > 0) {
-            Case.end(1, "rule broken: " + counts);
+            Case.end(Case.BROKEN, "rule broken: " + counts);
         }
-        Case.end(0, "rule held: " + counts);
+        Case.end(Case.HELD, "rule held: " + counts);
     }
 }
--- a/review/src/Relay.java
+++ b/review/src/Relay.java
@@ -60,7 +60,7 @@
     void signal(String name) throws IOException {
         Record.line("SIG" + name + " to relay " + label);
         try {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/review/src/RepeatedIdInUpgrade.java
+++ b/review/src/RepeatedIdInUpgrade.java
@@ -32,7 +32,7 @@
                         Relay.config("n0", port, oldDoor, discovery.port(), known, Settings.json(2)),
                         folder, folder.resolve("tmp"));
         if (!old.awaitHealth(30)) {
-            Case.end(2, "the case could not run: the relay was not ready");
+            Case.end(Case.NOT_RUN, "the case could not run: the relay was not ready");
         }
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
@@ -43,7 +43,7 @@
             Net.sleep(0.2);
         }
         if (clients.size() < CLIENTS / 2) {
-            Case.end(2, "the case could not run: only " + clients.size() + " of " + CLIENTS + " are up");
+            Case.end(Case.NOT_RUN, "the case could not run: only " + clients.size() + " of " + CLIENTS + " are up");
         }
         Relay young = null;
         if (trouble) {
@@ -52,7 +52,7 @@
                             Relay.config("n0", port, newDoor, discovery.port(), known, Settings.json(2)),
                             folder, folder.resolve("tmp"));
             if (!young.awaitHealth(30)) {
-                Case.end(2, "the case could not run: the new process did not say yes");
+                Case.end(Case.NOT_RUN, "the case could not run: the new process did not say yes");
             }
             old.signal("TERM");
         }
@@ -85,8 +85,8 @@
         String counts = "bad clients that opened with an id whose request stood " + tried + ", served " + served;
         clients.forEach(Client::leave);
         if (tried == 0) {
-            Case.end(2, "the case could not run: " + counts);
+            Case.end(Case.NOT_RUN, "the case could not run: " + counts);
         }
-        Case.end(served > 0 ? 1 : 0, (served > 0 ? "rule broken: " : "rule held: ") + counts);
+        Case.end(served > 0 ? Case.BROKEN : Case.HELD, (served > 0 ? "rule broken: " : "rule held: ") + counts);
     }
 }
