--- a/review/src/RepeatedIdInUpgrade.java
+++ b/review/src/RepeatedIdInUpgrade.java
@@ -8,7 +8,7 @@
  * served, and to the rules both processes are one relay.
  */
 final class RepeatedIdInUpgrade {
-    private static final int CLIENTS = 8;
+    private static final int CLIENTS = 24;
     private static final double KILL_AFTER_SECONDS = 3.7;
 
     private RepeatedIdInUpgrade() {}
