--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -48,7 +48,7 @@
             Net.LineReader reader = new Net.LineReader(socket);
             sentAt = Record.now();
             socket.getOutputStream()
-                    .write(Net.line("OPEN " + id + " " + id + " c=" + profile + ",t=severni-predpoved,d=" + timeoutMs
+                    .write(Net.line("OPEN " + id + " " + id + " c=" + profile + ",t=first,d=" + timeoutMs
                             + ",g=" + Integer.toHexString(0xb0 + ThreadLocalRandom.current().nextInt(GROUPS))));
             Record.line("client " + name + " sent " + id + " (" + profile + ") to relay " + relay.label);
             String line = reader.next();
--- a/review/src/Discovery.java
+++ b/review/src/Discovery.java
@@ -32,7 +32,7 @@
 
     static String entry(String host, String dial, String site, String health, long bornMs) {
         return String.format(
-                "{\"host\":\"%s\",\"dial\":\"%s\",\"site\":\"%s\",\"class\":\"std-2c\",\"block\":%d,"
+                "{\"host\":\"%s\",\"dial\":\"%s\",\"site\":\"%s\",\"class\":\"usual\",\"block\":%d,"
                         + "\"health\":\"%s\",\"share\":1.0,\"born_ms\":%d}",
                 host, dial, site, 1, health, bornMs);
     }
--- a/review/src/DrainAtReturn.java
+++ b/review/src/DrainAtReturn.java
@@ -24,7 +24,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Record.open(Path.of(args[1]));
         Discovery discovery = new Discovery();
-        String[] sites = {"angyalfold", "csepel", "budaors"};
+        String[] sites = {"room-a", "room-b", "room-c"};
         FeedServer[] servers = new FeedServer[SERVERS];
         for (int i = 0; i < SERVERS; i++) {
             servers[i] = new FeedServer("s-" + i, sites[i % sites.length], 0, 0);
@@ -91,7 +91,7 @@
     }
 
     private static void comeAndGo(Relay relay, List<Client> clients, AtomicBoolean coming) {
-        String[] profiles = {"pledge-status", "campaign-total", "charity-board"};
+        String[] profiles = {"status", "total", "board"};
         int[] timeouts = {1200, 2000, 3200};
         for (int i = 0; coming.get(); i++) {
             Client client = new Client(relay.label + "-c" + i, relay, profiles[i % 3], timeouts[i % 3]);
--- a/review/src/PiecesAtRestart.java
+++ b/review/src/PiecesAtRestart.java
@@ -19,7 +19,7 @@
         Discovery discovery = new Discovery();
         for (int i = 0; i < 4; i++) {
             FeedServer server =
-                    new FeedServer("s-" + i, i % 2 == 0 ? "pce-dukla" : "hk-slezske", BLOCK_BYTES, READING_EVERY_SECONDS);
+                    new FeedServer("s-" + i, i % 2 == 0 ? "room-a" : "room-b", BLOCK_BYTES, READING_EVERY_SECONDS);
             discovery.set(server.host, server.entry("up"));
         }
         Relay[] relays = new Relay[2];
@@ -36,7 +36,7 @@
         }
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
-            Client client = new Client("c" + i, relays[0], "backfill", 3200);
+            Client client = new Client("c" + i, relays[0], "replay", 3200);
             if (client.open()) {
                 clients.add(client);
             }
--- a/review/src/RepeatedIdInUpgrade.java
+++ b/review/src/RepeatedIdInUpgrade.java
@@ -20,7 +20,7 @@
         Discovery discovery = new Discovery();
         FeedServer[] servers = new FeedServer[4];
         for (int i = 0; i < servers.length; i++) {
-            servers[i] = new FeedServer("s-" + i, i % 2 == 0 ? "pce-dukla" : "hk-slezske", 0, 0);
+            servers[i] = new FeedServer("s-" + i, i % 2 == 0 ? "room-a" : "room-b", 0, 0);
             discovery.set(servers[i].host, servers[i].entry("up"));
         }
         int port = Net.freePort();
@@ -36,7 +36,7 @@
         }
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
-            Client client = new Client("c" + i, old, "backfill", 3200);
+            Client client = new Client("c" + i, old, "replay", 3200);
             if (client.open()) {
                 clients.add(client);
             }
@@ -61,7 +61,7 @@
         int tried = 0;
         int served = 0;
         for (Client victim : clients) {
-            Client bad = new Client("bad-" + victim.name, old, "backfill", 3200, victim.id);
+            Client bad = new Client("bad-" + victim.name, old, "replay", 3200, victim.id);
             double sentAt = Record.now();
             boolean up = bad.open();
             // Only where the other client's request was still open when this one had its answer.
--- a/review/src/Settings.java
+++ b/review/src/Settings.java
@@ -11,24 +11,24 @@
                 + "\"limits\":{\"cancel\":true,\"connIdleMs\":30000.0,\"dialTimeoutMs\":250.0,"
                 + "\"maxOpen\":1500000,\"maxRetryAfterMs\":1500.0,\"mostSetups\":6,\"peers\":false,"
                 + "\"probes\":true,\"retryAfter\":true,\"secondCopies\":false,\"streamsPerConn\":1048576},"
-                + "\"models\":[\"fast-2c\",\"std-2c\"],\"myZone\":0,"
+                + "\"models\":[\"fast\",\"usual\"],\"myZone\":0,"
                 + "\"profiles\":["
-                + profile("live-waves", 300, 1200, 2)
+                + profile("live", 300, 1200, 2)
                 + ","
-                + profile("backfill", 800, 3200, 1)
+                + profile("replay", 800, 3200, 1)
                 + ","
-                + profile("station-sync", 800, 3200, 2)
+                + profile("sync", 800, 3200, 2)
                 + ","
-                + profile("storm-watch", 500, 2000, 3)
+                + profile("storm", 500, 2000, 3)
                 + "],\"rank\":0,\"registryMode\":\"subscribe\","
                 + "\"report\":{\"fields\":[\"busy\",\"rif\",\"x0\"],\"how\":\"pull\"},"
                 + "\"rules\":{\"answerSlackMs\":16.0,\"askEveryMs\":10000.0,\"coldFrom\":0.12,\"coldMs\":19000.0,"
                 + "\"drainGraceMs\":500.0,\"fallMs\":1000.0,\"fallMultiple\":4.0},"
                 + "\"scoreParts\":{\"whole\":0.3,\"worstClass\":0.2,\"worstTenant\":0.4,\"worstWindow\":0.1},"
                 + "\"serviceType\":\"conn\",\"siblings\":" + siblings + ",\"stage\":0,"
-                + "\"tenants\":[{\"name\":\"severni-predpoved\",\"share\":0.5},{\"name\":\"pristavni-sluzba\",\"share\":0.5}],"
-                + "\"tickMs\":4.0,\"tiers\":[\"feed-servers\"],\"weights\":\"silent\","
-                + "\"zones\":[\"pce-dukla\",\"hk-slezske\"]}";
+                + "\"tenants\":[{\"name\":\"first\",\"share\":0.5},{\"name\":\"second\",\"share\":0.5}],"
+                + "\"tickMs\":4.0,\"tiers\":[\"servers\"],\"weights\":\"silent\","
+                + "\"zones\":[\"room-a\",\"room-b\"]}";
     }
 
     /** A deployment with three rooms, to which lists are pushed, with a short grace on drains and a budget of setups. */
@@ -41,22 +41,22 @@
                 + "\"limits\":{\"cancel\":true,\"connIdleMs\":30000.0,\"dialTimeoutMs\":250.0,"
                 + "\"maxOpen\":1500000,\"maxRetryAfterMs\":1500.0,\"mostSetups\":3,\"peers\":false,"
                 + "\"probes\":true,\"retryAfter\":true,\"secondCopies\":false,\"streamsPerConn\":1048576},"
-                + "\"models\":[\"fast-2c\",\"std-2c\"],\"myZone\":0,"
+                + "\"models\":[\"fast\",\"usual\"],\"myZone\":0,"
                 + "\"profiles\":["
-                + profile("pledge-status", 300, 1200, 5)
+                + profile("status", 300, 1200, 5)
                 + ","
-                + profile("campaign-total", 500, 2000, 1)
+                + profile("total", 500, 2000, 1)
                 + ","
-                + profile("charity-board", 800, 3200, 1)
+                + profile("board", 800, 3200, 1)
                 + "],\"rank\":0,\"registryMode\":\"automatic\","
                 + "\"report\":{\"fields\":[\"busy\",\"rif\",\"x0\"],\"how\":\"pull\"},"
                 + "\"rules\":{\"answerSlackMs\":16.0,\"budgetFree\":3,\"furtherRatio\":0.05,\"lookBackMs\":2000.0,"
                 + "\"coldFrom\":0.17,\"coldMs\":18000.0,\"drainGraceMs\":50.0,\"fallMs\":1500.0,\"fallMultiple\":1.5},"
                 + "\"scoreParts\":{\"whole\":0.55,\"worstClass\":0.2,\"worstTenant\":0.1,\"worstWindow\":0.15},"
                 + "\"serviceType\":\"conn\",\"siblings\":" + siblings + ",\"stage\":0,"
-                + "\"tenants\":[{\"name\":\"severni-predpoved\",\"share\":0.5},{\"name\":\"pristavni-sluzba\",\"share\":0.5}],"
-                + "\"tickMs\":4.0,\"tiers\":[\"tally-servers\"],\"weights\":\"silent\","
-                + "\"zones\":[\"angyalfold\",\"csepel\",\"budaors\"]}";
+                + "\"tenants\":[{\"name\":\"first\",\"share\":0.5},{\"name\":\"second\",\"share\":0.5}],"
+                + "\"tickMs\":4.0,\"tiers\":[\"servers\"],\"weights\":\"silent\","
+                + "\"zones\":[\"room-a\",\"room-b\",\"room-c\"]}";
     }
 
     private static String profile(String name, int goalMs, int timeoutMs, int credit) {
