--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -26,6 +26,13 @@
     volatile String lastLine = "", partial = "", end;
 
     volatile boolean leaving;
+
+    /** Until when it is cut off: nothing of it is sent, and nothing sent to it arrives. */
+    volatile double silentUntil;
+
+    /** The size of its receive buffer; 0 for the system's own. */
+    int receiveBytes;
+
     volatile int lines;
 
     Client(String name, Relay relay, String profile, int timeoutMs) {
@@ -43,7 +50,7 @@
     /** Opens a tunnel and waits for the answer; true if it is up. Goes on by itself then. */
     boolean open() {
         try {
-            socket = Net.connect(relay.port, 1000);
+            socket = Net.connect(relay.port, 1000, receiveBytes);
             socket.setSoTimeout(timeoutMs);
             Net.LineReader reader = new Net.LineReader(socket);
             sentAt = Record.now();
@@ -77,6 +84,7 @@
         String how;
         try {
             for (String line = reader.next(); line != null; line = reader.next()) {
+                awaitEndOfSilence();
                 lastLine = line;
                 lines++;
                 if (line.equals("MOVE")) {
@@ -99,6 +107,7 @@
         try {
             for (int number = 1; end == null; number++) {
                 Net.sleep(LINE_EVERY_SECONDS * (number == 1 ? ThreadLocalRandom.current().nextDouble() : 1));
+                awaitEndOfSilence();
                 socket.getOutputStream().write(Net.line("line " + number));
             }
         } catch (IOException e) {
@@ -106,6 +115,12 @@
         }
     }
 
+    private void awaitEndOfSilence() {
+        while (silentUntil > Record.now()) {
+            Net.sleep(0.05);
+        }
+    }
+
     void leave() {
         leaving = true;
         if (socket != null) {
--- a/review/src/DrainAtReturn.java
+++ b/review/src/DrainAtReturn.java
@@ -27,7 +27,7 @@
         String[] sites = {"room-a", "room-b", "room-c"};
         FeedServer[] servers = new FeedServer[SERVERS];
         for (int i = 0; i < SERVERS; i++) {
-            servers[i] = new FeedServer("s-" + i, sites[i % sites.length], 0, 0);
+            servers[i] = new FeedServer("s-" + i, sites[i % sites.length]);
             discovery.set(servers[i].host, servers[i].entry("up"));
         }
         List<Client> clients = new CopyOnWriteArrayList<>();
--- a/review/src/FeedServer.java
+++ b/review/src/FeedServer.java
@@ -20,6 +20,7 @@
     final String host;
     final String site;
     private final int blockBytes;
+    private final int readingBytes;
     private final double readingEverySeconds;
     private final ServerSocket listener;
     private final Set<Socket> tunnels = ConcurrentHashMap.newKeySet();
@@ -27,11 +28,20 @@
     private final List<Double> openings = new CopyOnWriteArrayList<>();
     private volatile boolean draining;
 
-    /** {@code blockBytes}: 0 for a server that streams nothing. */
-    FeedServer(String host, String site, int blockBytes, double readingEverySeconds) throws IOException {
+    FeedServer(String host, String site) throws IOException {
+        this(host, site, 0, 0, 0);
+    }
+
+    /**
+     * {@code blockBytes}: 0 for a server that streams nothing. {@code readingBytes}: how long a reading is; 0 for short
+     * ones of 60 to 120 bytes.
+     */
+    FeedServer(String host, String site, int blockBytes, int readingBytes, double readingEverySeconds)
+            throws IOException {
         this.host = host;
         this.site = site;
         this.blockBytes = blockBytes;
+        this.readingBytes = readingBytes;
         this.readingEverySeconds = readingEverySeconds;
         listener = Net.listen();
         Net.daemon(this::accept);
@@ -124,14 +134,17 @@
         }
     }
 
-    /** Readings one after the other, each a line of 60 to 120 bytes, until the connection ends. */
+    /** Readings one after the other, each a line, until the connection ends; long ones leave at once. */
     private void stream(Socket socket, OutputStream out) {
         try {
             for (int number = 1; !socket.isClosed(); number++) {
                 String reading =
-                        "READING " + number + " buoy-" + (number * 7919 % 113) + " " + "0".repeat(40 + number * 31 % 60);
+                        "READING " + number + " buoy-" + (number * 7919 % 113) + " " + "0".repeat(readingBytes > 0 ? readingBytes : 40 + number * 31 % 60);
                 synchronized (out) {
                     out.write(Net.line(reading));
+                    if (readingBytes > 0) {
+                        out.flush();
+                    }
                 }
                 Net.sleep(readingEverySeconds);
             }
--- a/review/src/Net.java
+++ b/review/src/Net.java
@@ -30,8 +30,16 @@
     }
 
     static Socket connect(int port, int timeoutMs) throws IOException {
+        return connect(port, timeoutMs, 0);
+    }
+
+    /** {@code receiveBytes}: the size of the receive buffer; 0 for the system's own. */
+    static Socket connect(int port, int timeoutMs, int receiveBytes) throws IOException {
         Socket socket = new Socket();
         try {
+            if (receiveBytes > 0) {
+                socket.setReceiveBufferSize(receiveBytes);
+            }
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress(HOST, port), timeoutMs);
             return socket;
--- a/review/src/PiecesAtRestart.java
+++ b/review/src/PiecesAtRestart.java
@@ -19,7 +19,7 @@
         Discovery discovery = new Discovery();
         for (int i = 0; i < 4; i++) {
             FeedServer server =
-                    new FeedServer("s-" + i, i % 2 == 0 ? "room-a" : "room-b", BLOCK_BYTES, READING_EVERY_SECONDS);
+                    new FeedServer("s-" + i, i % 2 == 0 ? "room-a" : "room-b", BLOCK_BYTES, 0, READING_EVERY_SECONDS);
             discovery.set(server.host, server.entry("up"));
         }
         Relay[] relays = new Relay[2];
--- a/review/src/Relay.java
+++ b/review/src/Relay.java
@@ -29,13 +29,18 @@
         this.process = process;
     }
 
-    /** The configuration as the platform writes it. {@code operatorPort}: 0 for none. */
     static String config(String name, int port, int operatorPort, int discoveryPort, String known, String settings) {
+        return config(name, port, operatorPort, discoveryPort, known, settings, 192);
+    }
+
+    /** The configuration as the platform writes it. {@code operatorPort}: 0 for none. */
+    static String config(
+            String name, int port, int operatorPort, int discoveryPort, String known, String settings, int memoryMb) {
         return "{\"name\":\"" + name + "\",\"listen\":\"" + Net.address(port) + "\",\"discovery\":\""
                 + Net.address(discoveryPort) + "\","
                 + (operatorPort == 0 ? "" : "\"operator\":\"" + Net.address(operatorPort) + "\",")
                 + "\"seed\":\"" + Long.toHexString(System.nanoTime()) + "\","
-                + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                + "\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":1024},"
                 + "\"known\":" + known + ",\"settings\":" + settings + "}";
     }
 
