--- a/review/src/SilentClients.java
+++ b/review/src/SilentClients.java
@@ -9,7 +9,7 @@
     /** A line with its end stays under 4 KiB. */
     private static final int READING_BYTES = 3900;
 
-    private static final double READING_EVERY_SECONDS = 0.02, SILENT_SECONDS = 19;
+    private static final double READING_EVERY_SECONDS = 0.015, SILENT_SECONDS = 19;
     private static final int RECEIVE_BYTES = 8192;
 
     private SilentClients() {}
