Clients are sent whole lines, so a move never cuts one off in the middle of a line

Cause, in ForwardingFilter: bytes of a backend went on as they were read, so after a buffer that ended inside a line the client was inside that line too, and a move was possible only after a buffer that happened to end with one. After 0.8 s without such a buffer the client was cut off as if its backend had stopped. The wait could also reach past the end of a shutdown.

Evidence: moved_unfinished counted exactly the clients that were cut off (8 of 8, 5 of 5), moved those that were told; none was held at the end of the process, so neither the process's end nor a lost MOVE explains them.

Fix: WholeLines cuts what a backend sends at the ends of lines. What came of an incomplete line stays in the relay, where LineAssembler kept a copy of it anyway, so a client is always between two lines and every move can be told, whatever the backend does. A move still waits 0.8 s for the rest of a line, and no longer than a shutdown lasts.

--- a/lab/src/main/java/asterpulley/lab/fleet/SimulatedRelay.java
+++ b/lab/src/main/java/asterpulley/lab/fleet/SimulatedRelay.java
@@ -219,6 +219,11 @@
         loop.schedule(0, () -> endTunnel(tunnel, Termination.Cause.MOVE));
     }
 
+    @Override
+    public void moveNow(TunnelContext tunnel) {
+        move(tunnel);
+    }
+
     @Override
     public void decline(PeerConnection client, double retryAfter) {
         control.registry.sockets--;
--- a/relay/src/main/java/asterpulley/line/ForwardingFilter.java
+++ b/relay/src/main/java/asterpulley/line/ForwardingFilter.java
@@ -13,10 +13,11 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 
 /**
- * Last filter of both chains: owns established tunnels. It forwards bytes both ways unchanged and
- * as they arrive, reads along to see what the backend reports of the tunnel, ends each side as the
- * other ended, and moves clients away. It must never change a byte, never send to a client in the
- * middle of a line, and never hold a line back.
+ * Last filter of both chains: owns established tunnels. It forwards what each side sends unchanged
+ * and as it arrives, to clients in whole lines only, so that a client can be moved at any moment
+ * without being cut off in the middle of a line. It reads along to see what the backend reports of
+ * the tunnel, ends each side as the other ended, and moves clients away. It must never change a
+ * byte, never send to a client in the middle of a line, and never hold a complete line back.
  */
 public final class ForwardingFilter extends BaseFilter {
     /**
@@ -44,8 +45,8 @@
     private static final double SLOW_LINE_SECONDS = 0.1;
 
     /**
-     * How long a move waits for the backend to complete a line that it has sent in part; a line may
-     * not be held back for longer than this.
+     * How long a move waits for the backend to complete a line that it has sent in part, so that
+     * the client still gets that line.
      */
     private static final double PARTIAL_LINE_TIMEOUT_SECONDS = 0.8;
 
@@ -131,19 +132,29 @@
     }
 
     private void forwardToClient(TunnelContext tunnel, Buffer bytes) {
-        int start = bytes.position();
-        LineAssembler assembler = LineAssembler.of(tunnel.backend);
-        for (String line = assembler.nextLine(bytes);
-                line != null;
-                line = assembler.nextLine(bytes)) {
-            inspectBackendLine(tunnel, line);
-        }
-        bytes.position(start);
         registry.add("bytes_to_clients", bytes.remaining());
         tunnel.lastActivityAt = eventLoop.now();
-        tunnel.client.write(bytes, tunnel.backend);
-        if (tunnel.moving && assembler.isBetweenLines()) {
-            moveNow(tunnel);
+        LineAssembler assembler = LineAssembler.of(tunnel.backend);
+        Buffer wholeLines =
+                WholeLines.read(
+                        assembler,
+                        bytes,
+                        tunnel.client.connection.getMemoryManager(),
+                        line -> inspectBackendLine(tunnel, line));
+        if (wholeLines == null) {
+            return;
+        }
+        tunnel.client.write(wholeLines, tunnel.backend);
+        if (tunnel.moving && !assembler.isLineTooLong()) {
+            endWithMove(tunnel);
+        }
+    }
+
+    /** Sends on what came of a last line that its backend did not complete before it ended. */
+    private void forwardPartialLine(TunnelContext tunnel) {
+        byte[] partialLine = WholeLines.heldBack(LineAssembler.of(tunnel.backend));
+        if (partialLine.length > 0) {
+            tunnel.client.send(partialLine);
         }
     }
 
@@ -183,6 +194,9 @@
                         : tunnel.backendEndCause != null
                                 ? tunnel.backendEndCause
                                 : Termination.Cause.BROKEN;
+        if (!fromClient && !tunnel.backendEnded) {
+            forwardPartialLine(tunnel);
+        }
         tunnel.clientEnded |= fromClient;
         tunnel.backendEnded |= !fromClient;
         if (!fromClient && tunnel.backendEndCause != null) {
@@ -262,34 +276,50 @@
         }
     }
 
-    /** Tells the client to connect elsewhere as soon as no line is in transit to it. */
+    /**
+     * Tells the client to connect elsewhere: at once, or after the end of a line that the backend
+     * has sent in part, if that comes soon.
+     */
     public void move(TunnelContext tunnel) {
         if (!tunnel.established || tunnel.finished || tunnel.moving) {
             return;
         }
         tunnel.moving = true;
         if (LineAssembler.of(tunnel.backend).isBetweenLines()) {
-            moveNow(tunnel);
+            endWithMove(tunnel);
         } else {
-            eventLoop.schedule(
-                    PARTIAL_LINE_TIMEOUT_SECONDS,
-                    () -> {
-                        if (!tunnel.finished) {
-                            registry.count("moved_unfinished");
-                            finish(tunnel, Termination.Cause.CLIENT_LEFT);
-                            tunnel.backend.close();
-                            tunnel.client.linger();
-                        }
-                    });
+            eventLoop.schedule(PARTIAL_LINE_TIMEOUT_SECONDS, () -> moveNow(tunnel));
         }
     }
 
-    private void moveNow(TunnelContext tunnel) {
-        if (tunnel.finished) {
+    /** Tells the client to connect elsewhere; an incomplete line of the backend is discarded. */
+    public void moveNow(TunnelContext tunnel) {
+        if (!tunnel.established || tunnel.finished) {
             return;
         }
-        registry.count("moved");
-        tunnel.client.send(LineCodec.encode(LineCodec.MOVE));
+        tunnel.moving = true;
+        LineAssembler assembler = LineAssembler.of(tunnel.backend);
+        if (!assembler.isBetweenLines()) {
+            registry.count("moved_unfinished");
+        }
+        if (assembler.isLineTooLong()) {
+            // Part of that line was sent to the client: MOVE behind it would not be a line.
+            registry.count("moved_cut_off");
+            endTunnel(tunnel);
+        } else {
+            endWithMove(tunnel);
+        }
+    }
+
+    private void endWithMove(TunnelContext tunnel) {
+        if (!tunnel.finished) {
+            registry.count("moved");
+            tunnel.client.send(LineCodec.encode(LineCodec.MOVE));
+            endTunnel(tunnel);
+        }
+    }
+
+    private void endTunnel(TunnelContext tunnel) {
         finish(tunnel, Termination.Cause.CLIENT_LEFT);
         tunnel.backend.close();
         tunnel.client.linger();
--- a/relay/src/main/java/asterpulley/line/LineAssembler.java
+++ b/relay/src/main/java/asterpulley/line/LineAssembler.java
@@ -13,7 +13,7 @@
 
     private byte[] bytes = new byte[INITIAL_BYTES];
     private int size;
-    private boolean tooLong, bareLineFeed;
+    private boolean tooLong, lineTooLong, bareLineFeed;
 
     /** The assembler of this connection, created on first use. */
     public static LineAssembler of(PeerConnection peer) {
@@ -35,11 +35,13 @@
                 int end = bareLineFeed ? size : size - 1;
                 String line = new String(bytes, 0, end, LineCodec.CHARSET);
                 size = 0;
+                lineTooLong = false;
                 return line;
             }
             if (size == bytes.length) {
                 if (size >= LineCodec.MAX_LINE_BYTES - 1) {
                     tooLong = true;
+                    lineTooLong = true;
                     continue;
                 }
                 bytes = Arrays.copyOf(bytes, Math.min(2 * size, LineCodec.MAX_LINE_BYTES - 1));
@@ -54,6 +56,16 @@
         return tooLong;
     }
 
+    /** True if the line now being received is longer than allowed; not all of it is kept. */
+    public boolean isLineTooLong() {
+        return lineTooLong;
+    }
+
+    /** A copy of what was received of a line that is still incomplete. */
+    public byte[] partialLine() {
+        return Arrays.copyOf(bytes, size);
+    }
+
     /** True if the last line ended without a carriage return. */
     public boolean endedWithBareLineFeed() {
         return bareLineFeed;
--- a/relay/src/main/java/asterpulley/line/LineProtocol.java
+++ b/relay/src/main/java/asterpulley/line/LineProtocol.java
@@ -43,6 +43,11 @@
         forwardingFilter.move(tunnel);
     }
 
+    @Override
+    public void moveNow(TunnelContext tunnel) {
+        forwardingFilter.moveNow(tunnel);
+    }
+
     @Override
     public void decline(PeerConnection client, double retryAfter) {
         client.send(LineCodec.encode(LineCodec.busy(retryAfter)));
--- a/relay/src/main/java/asterpulley/net/TunnelProtocol.java
+++ b/relay/src/main/java/asterpulley/net/TunnelProtocol.java
@@ -22,11 +22,14 @@
     void recallSetup(TunnelContext tunnel);
 
     /**
-     * Tells an established tunnel's client to connect elsewhere, as soon as no message to it is
-     * incomplete.
+     * Tells an established tunnel's client to connect elsewhere; a message that has arrived in part
+     * may be waited for, but not for long.
      */
     void move(TunnelContext tunnel);
 
+    /** As {@link #move}, but without waiting for anything. */
+    void moveNow(TunnelContext tunnel);
+
     /**
      * Answers that the tunnel is declined, to be tried again after {@code retryAfter} seconds (0:
      * no advice).
--- a/relay/src/main/java/asterpulley/serve/GracefulShutdown.java
+++ b/relay/src/main/java/asterpulley/serve/GracefulShutdown.java
@@ -154,8 +154,10 @@
         double elapsed = loop.now() - startedAt;
         moveDueClients();
         if (elapsed > duration) {
-            // Tunnels that are still pending get an answer now, instead of none at the kill.
+            // Tunnels that are still pending get an answer now, instead of none at the kill, and
+            // moves no longer wait for the rest of a line.
             registry.all().forEach(loadBalancer::expire);
+            registry.all().forEach(tunnel -> tunnel.protocol.moveNow(tunnel));
             idleConnections.declinePending();
         }
         // The first line of a client that was accepted recently may still be on its way.
--- a/relay/src/test/java/asterpulley/serve/OperatorApiTest.java
+++ b/relay/src/test/java/asterpulley/serve/OperatorApiTest.java
@@ -57,40 +57,6 @@
         }
     }
 
-    private Path stateFolder() throws IOException {
-        return Files.createDirectories(folder.resolve("kept"));
-    }
-
-    private void startWithOperatorApi(String... entries) throws IOException {
-        startWithOperatorApi(stateFolder(), entries);
-    }
-
-    /**
-     * Starts with a discovery that answers the first request at once, as the relay waits for that.
-     */
-    private void startWithOperatorApi(Path stateFolder, String... entries) throws IOException {
-        createConfig(1000, entries);
-        Path file = folder.resolve("config.json");
-        Files.writeString(
-                file,
-                Files.readString(file)
-                        .replace("\"seed\"", "\"operator\":\"127.0.0.1:0\",\"seed\""));
-        relay = new RelayInstance(Config.read(file), stateFolder);
-        resources.add(relay::kill);
-        discovery.publish(41);
-        relay.open();
-    }
-
-    TestConnection connectOperator() throws IOException {
-        TestConnection connection =
-                new TestConnection(
-                        new Socket(
-                                relay.operatorAddress().getAddress(),
-                                relay.operatorAddress().getPort()));
-        resources.add(connection);
-        return connection;
-    }
-
     private Response call(String method, String path) throws IOException {
         TestConnection connection = connectOperator();
         connection.send(
--- a/relay/src/test/java/asterpulley/serve/RelayFixture.java
+++ b/relay/src/test/java/asterpulley/serve/RelayFixture.java
@@ -1,5 +1,7 @@
 package asterpulley.serve;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -37,6 +39,7 @@
  */
 abstract class RelayFixture {
     static final String OPEN_REQUEST_FORMAT = "OPEN %x 7f3a c=%s,t=acme,d=%d,g=5c0f";
+    private static final long BLOCK_INTERVAL_MS = 50;
     final List<AutoCloseable> resources = Collections.synchronizedList(new ArrayList<>());
     @TempDir Path folder;
 
@@ -310,6 +313,36 @@
         }
     }
 
+    /**
+     * Sends numbered lines in blocks, as a buffered output does. Each block ends in the middle of a
+     * line, which the next block completes.
+     */
+    static void streamInBlocks(TestConnection connection) {
+        runInBackground(
+                () -> {
+                    for (int number = 0; ; number += 2) {
+                        connection.send(
+                                (number == 0 ? "" : "ing " + (number - 1) + "\r\n")
+                                        + ("reading " + number + "\r\nread"));
+                        Thread.sleep(BLOCK_INTERVAL_MS);
+                    }
+                });
+    }
+
+    /**
+     * The client, which has had the first line, gets every further one, then {@code MOVE} as a line
+     * of its own, then the end.
+     */
+    static void assertMovedBetweenLines(TestConnection client) throws IOException {
+        String line = client.readLine();
+        for (int number = 1; line != null && line.startsWith("read"); number++) {
+            assertEquals("reading " + number, line);
+            line = client.readLine();
+        }
+        assertEquals("MOVE", line);
+        assertNull(client.readLine());
+    }
+
     interface ThrowingRunnable {
         void run() throws Exception;
     }
@@ -395,6 +428,48 @@
         relay.open();
     }
 
+    Path stateFolder() throws IOException {
+        return Files.createDirectories(folder.resolve("kept"));
+    }
+
+    void startWithOperatorApi(String... entries) throws IOException {
+        startWithOperatorApi(stateFolder(), entries);
+    }
+
+    /**
+     * Starts with a discovery that answers the first request at once, as the relay waits for that.
+     */
+    void startWithOperatorApi(Path stateFolder, String... entries) throws IOException {
+        createConfig(1000, entries);
+        Path file = folder.resolve("config.json");
+        Files.writeString(
+                file,
+                Files.readString(file)
+                        .replace("\"seed\"", "\"operator\":\"127.0.0.1:0\",\"seed\""));
+        relay = new RelayInstance(Config.read(file), stateFolder);
+        resources.add(relay::kill);
+        discovery.publish(41);
+        relay.open();
+    }
+
+    TestConnection connectOperator() throws IOException {
+        TestConnection connection =
+                new TestConnection(
+                        new Socket(
+                                relay.operatorAddress().getAddress(),
+                                relay.operatorAddress().getPort()));
+        resources.add(connection);
+        return connection;
+    }
+
+    /** Makes a call to the operators' address and returns the status line. */
+    String postToOperatorApi(String path) throws IOException {
+        TestConnection connection = connectOperator();
+        connection.send(
+                "POST /admin/" + path + " HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n");
+        return connection.readLine();
+    }
+
     /** Returns a builder for a relay in a process of its own. */
     static ProcessBuilder relayProcessBuilder(Path config, Path log) {
         ProcessBuilder builder =
--- a/relay/src/test/java/asterpulley/serve/UpgradeTest.java
+++ b/relay/src/test/java/asterpulley/serve/UpgradeTest.java
@@ -264,4 +264,21 @@
         assertEquals(null, failureOfOpen("c2"));
         assertEquals(1, next.metric("upstream_requests_total"));
     }
+
+    /** The old process tells them {@code MOVE}, also in the middle of a line. */
+    @Test
+    void upgradeMovesClientWhoseLinesArriveInBlocks() throws Exception {
+        clientPort = freePort();
+        Backend backend = new Backend();
+        RelayProcess old = new RelayProcess(backend).awaitReady();
+        TestConnection client = new TestConnection(new Socket("127.0.0.1", clientPort));
+        resources.add(client);
+        client.send("OPEN b1 7f3a c=chat,t=acme,d=2000\r\n");
+        streamInBlocks(backend.openNextTunnel());
+        assertEquals("UP r1", client.readLine());
+        assertEquals("reading 0", client.readLine());
+        new RelayProcess(backend).awaitReady();
+        old.process.destroy();
+        assertMovedBetweenLines(client);
+    }
 }
