A slow reader that is moved is not closed before its MOVE is written

Callers would see: a client that has not read some megabytes of its server's lines is moved, and a second later its connection ends in the middle of a line, without MOVE; at once where the relay needs a socket.

Cause, in IdleConnections: the second that a relay waits for a peer to close counts from the last completed write, and MOVE was still behind what the client had not read. A slow reader that does read shows no progress until a third of its socket's buffer is free. makeRoom took lingering connections first, since each "has its final answer already".

Fix: while something is unwritten, 30 s without progress end the wait (new counter unread), and such a connection is not closed to make room for another.

--- a/relay/src/main/java/asterpulley/net/IdleConnections.java
+++ b/relay/src/main/java/asterpulley/net/IdleConnections.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.function.IntPredicate;
 
@@ -40,6 +41,12 @@
      */
     private static final double LINGER_SECONDS = 1;
 
+    /**
+     * How long to wait for a slow reader to read anything while its final message is still behind
+     * what it has not read. Progress shows only when a third of its socket's buffer is free again.
+     */
+    private static final double UNREAD_LINGER_SECONDS = 30;
+
     private static final double SWEEP_INTERVAL_SECONDS = 0.1;
 
     private final EventLoop eventLoop;
@@ -69,16 +76,20 @@
                         !isPending(connection)
                                 || now - connection.lastRequestAt > REQUEST_TIMEOUT_SECONDS
                                         && declineAndLinger(connection, "wordless"));
-        // A slow reader that still reads may yet come to its final answer.
         lingering.removeIf(
-                connection ->
-                        connection.isClosed()
-                                || now - Math.max(connection.lingeringSince, connection.lastWriteAt)
-                                                > LINGER_SECONDS
-                                        && closeCounted(connection, "lingered"));
+                connection -> connection.isClosed() || closeIfLingeredTooLong(connection));
         eventLoop.schedule(SWEEP_INTERVAL_SECONDS, this::start);
     }
 
+    private boolean closeIfLingeredTooLong(PeerConnection connection) {
+        double idleSince = Math.max(connection.lingeringSince, connection.lastWriteAt);
+        double idleSeconds = eventLoop.now() - idleSince;
+        if (connection.hasPendingWrites()) {
+            return idleSeconds > UNREAD_LINGER_SECONDS && closeCounted(connection, "unread");
+        }
+        return idleSeconds > LINGER_SECONDS && closeCounted(connection, "lingered");
+    }
+
     public void addPending(PeerConnection connection) {
         connection.awaitingRequest = true;
         pending.add(connection);
@@ -111,9 +122,9 @@
     /**
      * True if at most this many sockets are in use, counting those that accepted tunnels without a
      * backend socket still need. If there are more, idle connections are closed in this order:
-     * lingering ones, pending ones that have been silent the longest, those that have sent part of
-     * a request, and last spare connections. All but the lingering ones are closed only if that
-     * makes enough room.
+     * lingering ones whose final message is written, pending ones that have been silent the
+     * longest, those that have sent part of a request, and last spare connections. All but the
+     * lingering ones are closed only if that makes enough room.
      */
     public boolean makeRoom(int sockets) {
         return makeRoom(sockets, true);
@@ -132,9 +143,7 @@
             return true;
         }
         int excess = registry.sockets + registry.awaitingBackendSocket() - sockets;
-        for (; excess > 0 && !lingering.isEmpty(); excess -= reclaim(lingering.poll())) {
-            // A lingering connection has its final answer already.
-        }
+        excess -= reclaimLingering(excess);
         if (excess <= 0) {
             return true;
         }
@@ -154,6 +163,23 @@
         return true;
     }
 
+    /**
+     * Closes up to this many lingering connections and returns how many. One whose final message is
+     * not written yet stays: it would be cut off without it.
+     */
+    private int reclaimLingering(int count) {
+        int reclaimed = 0;
+        Iterator<PeerConnection> connections = lingering.iterator();
+        while (reclaimed < count && connections.hasNext()) {
+            PeerConnection connection = connections.next();
+            if (!connection.hasPendingWrites()) {
+                connections.remove();
+                reclaimed += reclaim(connection);
+            }
+        }
+        return reclaimed;
+    }
+
     /**
      * At most this many pending connections that can be closed, in the order in which they are
      * closed.
--- a/relay/src/main/java/asterpulley/net/PeerConnection.java
+++ b/relay/src/main/java/asterpulley/net/PeerConnection.java
@@ -120,6 +120,11 @@
         return lingering;
     }
 
+    /** Whether something waits for the peer to read what was sent before. */
+    public boolean hasPendingWrites() {
+        return pendingWrites > 0;
+    }
+
     public void send(byte[] bytes) {
         MemoryManager<?> memory = connection.getMemoryManager();
         write(Buffers.wrap(memory, bytes), null);
