moved_silent counts a client once, also while its move waits for the rest of a line

Found by the test of a server that falls silent in the middle of a line, where one client was counted four times: silentServerLosesItsClientByMoveAlsoInTheMiddleOfALine expected: <1> but was: <4>. Passes now, with the rest of MoveBetweenLinesTest.

--- a/relay/src/main/java/asterpulley/line/ForwardingFilter.java
+++ b/relay/src/main/java/asterpulley/line/ForwardingFilter.java
@@ -72,21 +72,25 @@
      */
     public void start() {
         for (TunnelContext tunnel : registry.all()) {
-            double waited =
-                    tunnel.unansweredSince > 0 ? eventLoop.now() - tunnel.unansweredSince : 0;
-            if (tunnel.established && waited > SILENT_BACKEND_SECONDS) {
-                registry.count("moved_silent");
-                move(tunnel);
-            } else if (tunnel.established
-                    && waited > (tunnel.slowReports + 1) * SLOW_REPORT_INTERVAL_SECONDS) {
-                tunnel.slowReports++;
-                registry.count("lines_unanswered");
-                loadBalancerFilter.messageDelayed(tunnel, waited);
+            if (tunnel.established && !tunnel.moving && tunnel.unansweredSince > 0) {
+                checkUnanswered(tunnel);
             }
         }
         eventLoop.schedule(SWEEP_INTERVAL_SECONDS, this::start);
     }
 
+    private void checkUnanswered(TunnelContext tunnel) {
+        double waited = eventLoop.now() - tunnel.unansweredSince;
+        if (waited > SILENT_BACKEND_SECONDS) {
+            registry.count("moved_silent");
+            move(tunnel);
+        } else if (waited > (tunnel.slowReports + 1) * SLOW_REPORT_INTERVAL_SECONDS) {
+            tunnel.slowReports++;
+            registry.count("lines_unanswered");
+            loadBalancerFilter.messageDelayed(tunnel, waited);
+        }
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         PeerConnection peer = PeerConnection.of(ctx.getConnection());
--- a/relay/src/test/java/asterpulley/serve/MoveBetweenLinesTest.java
+++ b/relay/src/test/java/asterpulley/serve/MoveBetweenLinesTest.java
@@ -90,6 +90,7 @@
         assertEquals("MOVE", client.readLine());
         assertNull(client.readLine());
         assertEquals(1, counterValue("moved_unfinished"));
+        assertEquals(1, counterValue("moved_silent"), "also where the move waits for a line");
     }
 
     /** As many clients as are moved up to the very end of the time that a shutdown has. */
