A server is not taken for silent while its client reads slowly

Callers would see: a client that has not read some megabytes sends a line, its server answers at once, and 3.5 s later the client is moved; its server is reported to the load balancer as slow meanwhile.

Cause, in ForwardingFilter: the time that a line is unanswered ran on while the relay itself did not read from the server because of the slow reader, so the answer lay in the relay's own socket.

Fix: that time counts anew from each check at which the client's sender is paused. A server that is silent is still found 3.5 s after its client has read on.

Test: SlowReaderMoveTest.serverIsNotTakenForSilentWhileItsClientReadsSlowly, which has a second client of a silent server to tell when 3.5 s are over.

--- a/relay/src/main/java/asterpulley/line/ForwardingFilter.java
+++ b/relay/src/main/java/asterpulley/line/ForwardingFilter.java
@@ -80,6 +80,12 @@
     }
 
     private void checkUnanswered(TunnelContext tunnel) {
+        if (tunnel.client.isSlowReader()) {
+            // The answer may be among what is not read from the backend meanwhile.
+            tunnel.unansweredSince = eventLoop.now();
+            tunnel.slowReports = 0;
+            return;
+        }
         double waited = eventLoop.now() - tunnel.unansweredSince;
         if (waited > SILENT_BACKEND_SECONDS) {
             registry.count("moved_silent");
--- a/relay/src/main/java/asterpulley/net/PeerConnection.java
+++ b/relay/src/main/java/asterpulley/net/PeerConnection.java
@@ -125,6 +125,11 @@
         return pendingWrites > 0;
     }
 
+    /** Whether the peer reads so slowly that its sender is not read from meanwhile. */
+    public boolean isSlowReader() {
+        return pausedSender != null;
+    }
+
     public void send(byte[] bytes) {
         MemoryManager<?> memory = connection.getMemoryManager();
         write(Buffers.wrap(memory, bytes), null);
--- a/relay/src/test/java/asterpulley/serve/SlowReaderMoveTest.java
+++ b/relay/src/test/java/asterpulley/serve/SlowReaderMoveTest.java
@@ -22,7 +22,7 @@
     private static final int BYTES_READ_BEFORE_THE_END = 2 << 20;
 
     private Backend backend, otherBackend;
-    private TestConnection client;
+    private TestConnection client, backendConnection;
     private int nextLine;
 
     /** Opens a tunnel at {@code backend}, whose client reads nothing while lines are streamed. */
@@ -32,7 +32,7 @@
         otherBackend.loadReport = "x0=0.3,rif=3,busy=0.3";
         startWithOperatorApi(backend.listEntry("s1", "up"), otherBackend.listEntry("s2", "up"));
         client = connectClient("chat", 2000);
-        TestConnection backendConnection = backend.openNextTunnel();
+        backendConnection = backend.openNextTunnel();
         assertEquals("UP r1", client.readLine());
         runInBackground(
                 () -> {
@@ -101,4 +101,27 @@
         assertTrue(connectClient("chat", 2000).readLine().startsWith("BUSY"), "no socket is left");
         assertMovedBetweenLines();
     }
+
+    /**
+     * Its server answers at once, but the relay did not read that while the client did not read,
+     * and took the server for silent.
+     */
+    @Test
+    void serverIsNotTakenForSilentWhileItsClientReadsSlowly() throws Exception {
+        openTunnelOfSlowReader();
+        TestConnection waiting = connectClient("chat", 2000);
+        while (backend.tunnelConnections.isEmpty() && otherBackend.tunnelConnections.isEmpty()) {
+            Thread.yield();
+        }
+        (backend.tunnelConnections.isEmpty() ? otherBackend : backend).openNextTunnel();
+        assertEquals("UP r1", waiting.readLine());
+        client.send("anyone?\r\n");
+        assertEquals("anyone?", backendConnection.readLine());
+        awaitCounter("bytes_to_backends", 9);
+        waiting.send("anyone?\r\n");
+        assertEquals("MOVE", waiting.readLine(), "its server is silent");
+        readLines(BYTES_READ_BEFORE_THE_END);
+        assertEquals(1, counterValue("moved"));
+        assertEquals(1, counterValue("moved_silent"));
+    }
 }
