In a shutdown slow readers are told MOVE first, not in the last second

Callers would see: a relay is told to end while a client is some megabytes behind its server. The client reads 2 MB soon after the signal, the rest later, and finds no MOVE at the end.

Cause, in GracefulShutdown: all clients are served as long as possible and moved in the last second. By then the room that the slow reader had made was filled up with further lines, and MOVE stood behind them in the process, which ended.

Fix: a client whose sender is paused is moved at the next step of a shutdown (0.05 s). Its server fills nothing up then, and MOVE goes to the operating system as soon as the client makes room. Who makes none in 3.4 s is cut off as before, since nothing can be written to it; the counter unread tells how many at the end.

Test: SlowReaderMoveTest.shutdownMovesClientsThatReadSlowlyFirst.

--- a/relay/src/main/java/asterpulley/net/IdleConnections.java
+++ b/relay/src/main/java/asterpulley/net/IdleConnections.java
@@ -49,6 +49,9 @@
 
     private static final double SWEEP_INTERVAL_SECONDS = 0.1;
 
+    /** Counts peers that were cut off before their final message was written. */
+    private static final String UNREAD_COUNTER = "unread";
+
     private final EventLoop eventLoop;
     private final TunnelRegistry registry;
     private final TunnelProtocol protocol;
@@ -81,11 +84,20 @@
         eventLoop.schedule(SWEEP_INTERVAL_SECONDS, this::start);
     }
 
+    /** Counts the peers whose final message was not written, at the end of the process. */
+    public void countUnread() {
+        for (PeerConnection connection : lingering) {
+            if (!connection.isClosed() && connection.hasPendingWrites()) {
+                registry.count(UNREAD_COUNTER);
+            }
+        }
+    }
+
     private boolean closeIfLingeredTooLong(PeerConnection connection) {
         double idleSince = Math.max(connection.lingeringSince, connection.lastWriteAt);
         double idleSeconds = eventLoop.now() - idleSince;
         if (connection.hasPendingWrites()) {
-            return idleSeconds > UNREAD_LINGER_SECONDS && closeCounted(connection, "unread");
+            return idleSeconds > UNREAD_LINGER_SECONDS && closeCounted(connection, UNREAD_COUNTER);
         }
         return idleSeconds > LINGER_SECONDS && closeCounted(connection, "lingered");
     }
--- a/relay/src/main/java/asterpulley/serve/GracefulShutdown.java
+++ b/relay/src/main/java/asterpulley/serve/GracefulShutdown.java
@@ -152,6 +152,7 @@
 
     private void continueShutdown(Runnable whenDone) {
         double elapsed = loop.now() - startedAt;
+        moveSlowReaders();
         moveDueClients();
         if (elapsed > duration) {
             // Tunnels that are still pending get an answer now, instead of none at the kill, and
@@ -177,6 +178,7 @@
             return;
         }
         if (done || elapsed > duration + 2 * DrainScheduler.STEP_SECONDS) {
+            idleConnections.countUnread();
             LOG.info("left after " + Math.round(elapsed * 1000) + " ms");
             LOG.info(registry.toString());
             whenDone.run();
@@ -185,6 +187,18 @@
         loop.schedule(DrainScheduler.STEP_SECONDS, () -> continueShutdown(whenDone));
     }
 
+    /**
+     * Slow readers are moved at once: they read {@code MOVE} only after all that was sent before,
+     * and what is not written when the process ends never reaches them.
+     */
+    private void moveSlowReaders() {
+        for (TunnelContext tunnel : registry.all()) {
+            if (tunnel.established && tunnel.client.isSlowReader()) {
+                tunnel.protocol.move(tunnel);
+            }
+        }
+    }
+
     private void moveDueClients() {
         int due = moveSchedule.due(loop.now(), registry.held());
         for (TunnelContext tunnel : registry.all()) {
--- a/relay/src/test/java/asterpulley/serve/SlowReaderMoveTest.java
+++ b/relay/src/test/java/asterpulley/serve/SlowReaderMoveTest.java
@@ -124,4 +124,17 @@
         assertEquals(1, counterValue("moved"));
         assertEquals(1, counterValue("moved_silent"));
     }
+
+    /** The last moment to tell it MOVE is earlier than that of a client that reads at once. */
+    @Test
+    void shutdownMovesClientsThatReadSlowlyFirst() throws Exception {
+        openTunnelOfSlowReader();
+        relay.beginShutdown();
+        awaitCounter("leaving", 1);
+        Thread.sleep(500);
+        readLines(BYTES_READ_BEFORE_THE_END);
+        relay.awaitTermination();
+        relay.kill();
+        assertMovedBetweenLines();
+    }
 }
