What waits for slow readers is bounded by the heap, and checked before more is read

Cause: the bound was a tenth of memory_mb, 1,638 buffers of 4 KB or 6.7 MB, and took no account of the heap, which deploy/run sizes at 12 MB; 240 tunnels hold 4.8 MB of that without slow readers (class histogram, a trial). A sender was paused only after a write beyond the bound, and only with more than one write pending, so each slow reader added up to two buffers more.

Fix: the bound is in bytes, the lesser of a tenth of the memory and an eighth of the heap. Beyond it SocketFilter reads nothing more for a peer that has something pending.

--- a/relay/src/main/java/asterpulley/net/PeerConnection.java
+++ b/relay/src/main/java/asterpulley/net/PeerConnection.java
@@ -141,36 +141,60 @@
         send(bytes);
     }
 
-    /** Writes these bytes; {@code sender} is paused while too many writes are pending. */
+    /**
+     * Writes these bytes; {@code sender} is paused while too many writes to this peer are pending.
+     */
     public void write(Buffer bytes, PeerConnection sender) {
         if (closed || outputShutDown || shutdownWhenWritten) {
             bytes.tryDispose();
             return;
         }
+        int heapBytes = bytes.capacity();
         pendingWrites++;
         registry.pendingWrites++;
+        registry.pendingWriteBytes += heapBytes;
         bytes.allowBufferDispose(true);
         connection.write(
                 bytes,
                 new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
                     @Override
                     public void completed(WriteResult<Buffer, SocketAddress> result) {
+                        release(heapBytes);
                         writeCompleted();
                     }
 
                     @Override
                     public void failed(Throwable cause) {
-                        pendingWrites--;
-                        registry.pendingWrites--;
+                        release(heapBytes);
                         pauseSender(null);
                     }
                 });
-        boolean tooMany =
-                pendingWrites
-                        > (registry.pendingWrites > registry.maxPendingWrites
-                                ? 1
-                                : MAX_PENDING_WRITES);
-        if (tooMany && sender != null && pausedSender == null && !closed) {
+        if (sender != null && pendingWrites > MAX_PENDING_WRITES) {
+            pauseSlowReadersSender(sender);
+        }
+    }
+
+    private void release(int heapBytes) {
+        pendingWrites--;
+        registry.pendingWrites--;
+        registry.pendingWriteBytes -= heapBytes;
+    }
+
+    /**
+     * To be asked before anything is read from {@code sender} for this peer. If there is no memory
+     * for what waits for slow readers, and this is one, the sender is paused until the peer has
+     * read what is pending for it.
+     */
+    boolean pauseSenderIfMemoryIsFull(PeerConnection sender) {
+        if (pendingWrites == 0 || closed || !registry.isWriteMemoryFull()) {
+            return false;
+        }
+        pauseSlowReadersSender(sender);
+        return true;
+    }
+
+    private void pauseSlowReadersSender(PeerConnection sender) {
+        if (pausedSender == null && !closed) {
             registry.count("slow_readers");
             pauseSender(sender);
         }
@@ -188,9 +212,8 @@
     }
 
     private void writeCompleted() {
-        registry.pendingWrites--;
         lastWriteAt = eventLoop.now();
-        if (--pendingWrites > 0) {
+        if (pendingWrites > 0) {
             return;
         }
         pauseSender(null);
--- a/relay/src/main/java/asterpulley/net/SocketFilter.java
+++ b/relay/src/main/java/asterpulley/net/SocketFilter.java
@@ -56,7 +56,7 @@
     public NextAction handleRead(FilterChainContext ctx) {
         Connection<?> connection = ctx.getConnection();
         PeerConnection peer = PeerConnection.of(connection);
-        if (peer == null || peer.isClosed()) {
+        if (peer == null || peer.isClosed() || mustWaitForReader(peer)) {
             return ctx.getStopAction();
         }
         Buffer buffer = (Buffer) connection.getMemoryManager().allocate(BUFFER_BYTES);
@@ -96,6 +96,14 @@
         return ctx.getInvokeAction();
     }
 
+    private static boolean mustWaitForReader(PeerConnection sender) {
+        if (sender.tunnel == null || !sender.tunnel.established || sender.isLingering()) {
+            return false;
+        }
+        PeerConnection reader = sender.tunnel.peerOf(sender);
+        return reader != null && reader.pauseSenderIfMemoryIsFull(sender);
+    }
+
     @Override
     public NextAction handleWrite(FilterChainContext ctx) throws IOException {
         return transport.getTransportFilter().handleWrite(ctx);
--- a/relay/src/main/java/asterpulley/net/TunnelContext.java
+++ b/relay/src/main/java/asterpulley/net/TunnelContext.java
@@ -71,6 +71,11 @@
         }
     }
 
+    /** The tunnel's other connection: the backend's for the client's, and the reverse. */
+    PeerConnection peerOf(PeerConnection side) {
+        return side == client ? backend : client;
+    }
+
     public Termination termination(Termination.Cause cause) {
         return new Termination(progress, cause);
     }
--- a/relay/src/main/java/asterpulley/net/TunnelRegistry.java
+++ b/relay/src/main/java/asterpulley/net/TunnelRegistry.java
@@ -52,14 +52,16 @@
     /** Open connections, and those of them that only wait for a peer to read its final answer. */
     public int sockets, lingering;
 
-    /** Buffers that wait for slow readers, over all connections. */
+    /** Buffers that wait for slow readers, over all connections, and the heap that they take. */
     public int pendingWrites;
 
+    public long pendingWriteBytes;
+
     /**
-     * Beyond this many pending buffers every sender is paused after one write, so that slow readers
-     * do not fill the memory.
+     * Beyond this nothing more is read for a peer that has something pending, so that slow readers
+     * do not fill the heap.
      */
-    public int maxPendingWrites = Integer.MAX_VALUE;
+    public long maxPendingWriteBytes = Long.MAX_VALUE;
 
     public TunnelRegistry(List<String> profiles) {
         profiles(profiles);
@@ -96,6 +98,11 @@
         answerCounts.get(Answer.OPENED)[tunnel.request.profile()]++;
     }
 
+    /** Whether slow readers hold as much of the heap as they may. */
+    public boolean isWriteMemoryFull() {
+        return pendingWriteBytes > maxPendingWriteBytes;
+    }
+
     public void count(String counter) {
         counters.merge(counter, 1L, Long::sum);
     }
--- a/relay/src/main/java/asterpulley/serve/RelayInstance.java
+++ b/relay/src/main/java/asterpulley/serve/RelayInstance.java
@@ -58,8 +58,11 @@
      */
     private static final int RESERVED_DESCRIPTORS = 40;
 
-    /** The share of the memory that may hold data for slow readers. */
-    private static final double SLOW_READER_MEMORY_SHARE = 0.1;
+    /**
+     * The shares of the configured memory and of the heap that may hold data for slow readers; the
+     * lesser counts. In a small memory most of it is the JVM's own.
+     */
+    private static final double SLOW_READER_MEMORY_SHARE = 0.1, SLOW_READER_HEAP_SHARE = 0.125;
 
     /**
      * The share of the configured memory that is reserved for buffers, also if the process has more
@@ -309,14 +312,17 @@
                 (POOLED_MEMORY_SHARE * Math.min(1, memoryBytes / Runtime.getRuntime().maxMemory()));
     }
 
-    private void applyLimits() {
+    private long slowReaderBytes() {
         // During an upgrade two processes share the memory.
-        registry.maxPendingWrites =
-                (int)
-                        (config.memoryBytes
-                                / (operatorService == null ? 1 : 2)
-                                * SLOW_READER_MEMORY_SHARE
-                                / SocketFilter.BUFFER_BYTES);
+        double ownMemory = config.memoryBytes / (operatorService == null ? 1 : 2);
+        return (long)
+                Math.min(
+                        ownMemory * SLOW_READER_MEMORY_SHARE,
+                        Runtime.getRuntime().maxMemory() * SLOW_READER_HEAP_SHARE);
+    }
+
+    private void applyLimits() {
+        registry.maxPendingWriteBytes = slowReaderBytes();
         controlPlane.admission.setSocketLimit(
                 config.socketLimit
                         - RESERVED_DESCRIPTORS
--- /dev/null
+++ b/relay/src/test/java/asterpulley/serve/SlowReaderMemoryTest.java
@@ -0,0 +1,134 @@
+package asterpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Many clients that read nothing while their backends stream to them, at a relay with the least
+ * memory that it can have. Guards against a heap that is filled with what they have not read.
+ */
+@Timeout(120)
+class SlowReaderMemoryTest extends RelayFixture {
+    /** The heap that {@code deploy/run} gives a relay of this memory. */
+    private static final int MEMORY_MB = 64, HEAP_MB = 12;
+
+    private static final int CLIENTS = 280, BACKENDS = 12;
+    private static final byte[] LINE = ("x".repeat(3900) + "\r\n").getBytes();
+    private static final Pattern ADDRESS = Pattern.compile("serving n1 at 127\\.0\\.0\\.1:(\\d+)");
+
+    private final AtomicLong bytesSent = new AtomicLong();
+    private Process process;
+    private InetSocketAddress relayAddress;
+
+    private void startRelayProcess(String... entries) throws Exception {
+        Config config =
+                createConfig(
+                        json ->
+                                json.replace(
+                                        "\"sockets\":1000",
+                                        "\"sockets\":1000,\"memory_mb\":" + MEMORY_MB),
+                        1000,
+                        entries);
+        assertEquals(MEMORY_MB << 20, (int) config.memoryBytes);
+        Path log = folder.resolve("log");
+        ProcessBuilder builder = relayProcessBuilder(folder.resolve("config.json"), log);
+        builder.command().replaceAll(word -> word.startsWith("-Xmx") ? heapOption() : word);
+        builder.command().add(1, "-XX:+ExitOnOutOfMemoryError");
+        discovery.publish(41);
+        process = builder.start();
+        resources.add(process::destroyForcibly);
+        Matcher address = ADDRESS.matcher(Files.readString(log));
+        while (!address.find()) {
+            assertTrue(process.isAlive(), Files.readString(log));
+            Thread.sleep(5);
+            address = ADDRESS.matcher(Files.readString(log));
+        }
+        relayAddress =
+                new InetSocketAddress(
+                        InetAddress.getByName("127.0.0.1"), Integer.parseInt(address.group(1)));
+    }
+
+    private static String heapOption() {
+        return "-Xmx" + HEAP_MB + "m";
+    }
+
+    private void stream(TestConnection backendConnection) {
+        runInBackground(
+                () -> {
+                    while (true) {
+                        backendConnection.socket.getOutputStream().write(LINE);
+                        bytesSent.addAndGet(LINE.length);
+                    }
+                });
+    }
+
+    /** Waits until all buffers are full: nothing more is sent for half a second, or the end. */
+    private void awaitFullBuffers() throws InterruptedException {
+        long before = -1;
+        while (bytesSent.get() != before && process.isAlive()) {
+            before = bytesSent.get();
+            process.waitFor(500, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A backend that opens every tunnel and streams to it without end. */
+    private Backend streamingBackend() throws Exception {
+        Backend backend = new Backend();
+        runInBackground(
+                () -> {
+                    while (true) {
+                        stream(backend.openNextTunnel());
+                    }
+                });
+        return backend;
+    }
+
+    /** Connects until a client's tunnel is opened; a server that took many at once says no. */
+    private TestConnection connectClientThatReadsNothing() throws Exception {
+        while (true) {
+            TestConnection client = connectClient(relayAddress, "chat", 3000);
+            String answer = client.readLine();
+            if (answer == null) {
+                process.waitFor(5, TimeUnit.SECONDS);
+                fail("not answered: " + Files.readString(folder.resolve("log")));
+            }
+            if (answer.startsWith("UP ")) {
+                return client;
+            }
+        }
+    }
+
+    @Test
+    void clientsThatReadNothingDoNotExhaustTheHeap() throws Exception {
+        String[] entries = new String[BACKENDS];
+        for (int i = 0; i < BACKENDS; i++) {
+            entries[i] = streamingBackend().listEntry("s" + i, "up");
+        }
+        startRelayProcess(entries);
+        TestConnection client = connectClientThatReadsNothing();
+        for (int i = 1; i < CLIENTS; i++) {
+            connectClientThatReadsNothing();
+        }
+        awaitFullBuffers();
+        assertTrue(process.isAlive(), () -> "ended with " + process.exitValue());
+        try (TestConnection healthCheck =
+                new TestConnection(new Socket(relayAddress.getAddress(), relayAddress.getPort()))) {
+            healthCheck.send("PING\r\n");
+            assertEquals("PONG", healthCheck.readLine());
+        }
+        assertEquals(LINE.length - 2, client.readLine().length(), "it can still be read");
+    }
+}
