Where lists are pushed, the first retry after a failed call is within the drain grace too

Cause, in LoadBalancer.onServerListFailed: half of the grace bounded the pauses from the second failure on only. The first was 0.25 to 0.5 s, and each list that came made the next failure a first one again.

Fix: every pause is bounded by maxListBackoff, half of the grace where lists are pushed, 10 ms at the least. Lists that are asked for have a bound of a second or more and keep their pauses.

--- a/core/src/main/java/asterpulley/LoadBalancer.java
+++ b/core/src/main/java/asterpulley/LoadBalancer.java
@@ -245,6 +245,9 @@
 
     private static final double INITIAL_LIST_BACKOFF_SECONDS = 0.5;
 
+    /** Keeps a relay that is allowed next to no drain grace from requesting the list in a loop. */
+    private static final double MIN_LIST_BACKOFF_SECONDS = 0.01;
+
     /** Keeps the backoff within the time after which a relay counts as notified of the list. */
     private static final double MAX_LIST_BACKOFF_SECONDS = 3;
 
@@ -1717,17 +1720,10 @@
      * that timed out follows at once since the timeout itself took time.
      */
     public void onServerListFailed(boolean timedOut) {
-        // With a pushed list the relay counts as notified from the return of the discovery service
-        // on, so the delay stays within the drain grace. With a list that the relay must request,
-        // it counts as notified soon after that return.
-        double maxBackoff =
-                Math.min(
-                        Math.max(1, settings.relayCount / RELAYS_PER_BACKOFF_SECOND),
-                        Math.min(MAX_LIST_BACKOFF_SECONDS, settings.listChangesKnownAfter / 2));
-        maxBackoff = settings.subscribesToServerList ? maxBackoff : settings.drainGrace / 2;
+        double maxBackoff = maxListBackoff();
         double delay =
                 !timedOut
-                        ? listBackoff
+                        ? Math.min(maxBackoff, listBackoff)
                         : listBackoff == INITIAL_LIST_BACKOFF_SECONDS
                                 ? 0
                                 : Math.min(maxBackoff, INITIAL_LIST_BACKOFF_SECONDS);
@@ -1735,6 +1731,20 @@
         listBackoff = Math.min(maxBackoff, 2 * listBackoff);
     }
 
+    /**
+     * With a pushed list the relay counts as notified from the return of the discovery service on,
+     * so the delay stays within the drain grace. With a list that the relay must request, it counts
+     * as notified soon after that return.
+     */
+    private double maxListBackoff() {
+        if (!settings.subscribesToServerList) {
+            return Math.max(MIN_LIST_BACKOFF_SECONDS, settings.drainGrace / 2);
+        }
+        return Math.min(
+                Math.max(1, settings.relayCount / RELAYS_PER_BACKOFF_SECOND),
+                Math.min(MAX_LIST_BACKOFF_SECONDS, settings.listChangesKnownAfter / 2));
+    }
+
     // ---- State handed over in an upgrade
 
     /**
