--- a/relay/src/main/java/asterpulley/line/ForwardingFilter.java
+++ b/relay/src/main/java/asterpulley/line/ForwardingFilter.java
@@ -26,21 +26,6 @@
      */
     private static final double HALF_CLOSED_TIMEOUT_SECONDS = 10;
 
-    /**
-     * A client is moved if its lines are unanswered for this long. The platform allows 7 s from the
-     * moment the backend stops, and up to 2 s of those, the time between two lines of a client, may
-     * pass before the first unanswered line.
-     */
-    private static final double SILENT_BACKEND_SECONDS = 3.5;
-
-    /**
-     * A healthy backend returns a line at once: a delay is reported to the load balancer from here
-     * on, and again at this interval.
-     */
-    private static final double SLOW_REPORT_INTERVAL_SECONDS = 1.1;
-
-    private static final double SWEEP_INTERVAL_SECONDS = 0.25;
-
     /** An answer later than this counts as slow. */
     private static final double SLOW_LINE_SECONDS = 0.1;
 
@@ -66,37 +51,6 @@
         this.setupFilter = setupFilter;
     }
 
-    /**
-     * Watches for backends that stopped answering, now and at each interval from now on: the lines
-     * forwarded here show that sooner than load reports do.
-     */
-    public void start() {
-        for (TunnelContext tunnel : registry.all()) {
-            if (tunnel.established && !tunnel.moving && tunnel.unansweredSince > 0) {
-                checkUnanswered(tunnel);
-            }
-        }
-        eventLoop.schedule(SWEEP_INTERVAL_SECONDS, this::start);
-    }
-
-    private void checkUnanswered(TunnelContext tunnel) {
-        if (tunnel.client.isSlowReader()) {
-            // The answer may be among what is not read from the backend meanwhile.
-            tunnel.unansweredSince = eventLoop.now();
-            tunnel.slowReports = 0;
-            return;
-        }
-        double waited = eventLoop.now() - tunnel.unansweredSince;
-        if (waited > SILENT_BACKEND_SECONDS) {
-            registry.count("moved_silent");
-            move(tunnel);
-        } else if (waited > (tunnel.slowReports + 1) * SLOW_REPORT_INTERVAL_SECONDS) {
-            tunnel.slowReports++;
-            registry.count("lines_unanswered");
-            loadBalancerFilter.messageDelayed(tunnel, waited);
-        }
-    }
-
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         PeerConnection peer = PeerConnection.of(ctx.getConnection());
--- a/relay/src/main/java/asterpulley/serve/RelayInstance.java
+++ b/relay/src/main/java/asterpulley/serve/RelayInstance.java
@@ -9,6 +9,7 @@
 import asterpulley.line.LineCodec;
 import asterpulley.line.LineProtocol;
 import asterpulley.line.SetupFilter;
+import asterpulley.line.SilentBackendMonitor;
 import asterpulley.list.DiscoveryWatcher;
 import asterpulley.net.AcceptStrategy;
 import asterpulley.net.ClientListener;
@@ -205,7 +206,7 @@
                     if (operatorService != null) {
                         operatorService.start();
                     }
-                    forwardingFilter.start();
+                    new SilentBackendMonitor(loop, registry, loadBalancer).start();
                     loopStarted.countDown();
                 });
         try {
