--- a/relay/src/test/java/asterpulley/serve/ClientDisconnectTest.java
+++ b/relay/src/test/java/asterpulley/serve/ClientDisconnectTest.java
@@ -416,7 +416,7 @@
     void doesNotForwardWhenClientLeftBeforeItsLineWasRead() throws Exception {
         Backend backend = new Backend();
         Backend refusingBackend = new Backend();
-        refusingBackend.serverSocket.close();
+        stopListening(refusingBackend.serverSocket);
         startRelay(
                 createConfig(
                         this::withoutProbes,
--- a/relay/src/test/java/asterpulley/serve/RelayEndToEndTest.java
+++ b/relay/src/test/java/asterpulley/serve/RelayEndToEndTest.java
@@ -230,7 +230,7 @@
                 Thread.yield();
             }
         }
-        unreachable.serverSocket.close();
+        stopListening(unreachable.serverSocket);
         TestConnection client = connectClient("pay", 2000);
         busy.awaitTunnel().send("BUSY\r\n");
         good.openNextTunnel();
--- a/relay/src/test/java/asterpulley/serve/RelayFixture.java
+++ b/relay/src/test/java/asterpulley/serve/RelayFixture.java
@@ -21,6 +21,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -41,6 +42,7 @@
     static final String OPEN_REQUEST_FORMAT = "OPEN %x 7f3a c=%s,t=acme,d=%d,g=5c0f";
     private static final long BLOCK_INTERVAL_MS = 50;
     final List<AutoCloseable> resources = Collections.synchronizedList(new ArrayList<>());
+    private final Map<ServerSocket, Thread> acceptors = new ConcurrentHashMap<>();
     @TempDir Path folder;
 
     // ---- Simulated peers
@@ -192,7 +194,7 @@
          * Closes all connections and refuses new ones until another instance listens on the port.
          */
         void shutDown() throws IOException {
-            serverSocket.close();
+            stopListening(serverSocket);
             for (TestConnection connection : connections) {
                 connection.close();
             }
@@ -358,18 +360,35 @@
     ServerSocket listen(int port, ConnectionHandler handler) throws IOException {
         ServerSocket serverSocket = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
         resources.add(serverSocket);
-        runInBackground(
-                () -> {
-                    while (true) {
-                        TestConnection connection = new TestConnection(serverSocket.accept());
-                        resources.add(connection);
-                        runInBackground(() -> handler.serve(connection));
-                    }
-                });
+        Thread acceptor =
+                runInBackground(
+                        () -> {
+                            while (true) {
+                                TestConnection connection =
+                                        new TestConnection(serverSocket.accept());
+                                resources.add(connection);
+                                runInBackground(() -> handler.serve(connection));
+                            }
+                        });
+        acceptors.put(serverSocket, acceptor);
         return serverSocket;
     }
 
-    static void runInBackground(ThrowingRunnable task) {
+    /**
+     * Closes a listener for good: while its thread is still in {@code accept}, the kernel goes on
+     * taking connections although {@code close} has returned.
+     */
+    void stopListening(ServerSocket serverSocket) throws IOException {
+        serverSocket.close();
+        try {
+            acceptors.get(serverSocket).join();
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while a listener ends", e);
+        }
+    }
+
+    /** Returns the thread in which the task runs. */
+    static Thread runInBackground(ThrowingRunnable task) {
         Thread thread =
                 new Thread(
                         () -> {
@@ -383,6 +402,7 @@
                         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     int clientCount;
