--- a/relay/src/main/java/asterpulley/line/ForwardingFilter.java
+++ b/relay/src/main/java/asterpulley/line/ForwardingFilter.java
@@ -63,8 +63,7 @@
             ((Buffer) message).tryDispose();
         } else if (!tunnel.established) {
             // A client sends nothing until it has its answer. What a peer sends earlier is not
-            // valid
-            // and must not reach a backend.
+            // valid and must not reach a backend.
             ((Buffer) message).tryDispose();
             registry.count("early_words");
             loadBalancerFilter.abort(tunnel);
