--- a/review/src-2/BudgetCase.java
+++ b/review/src-2/BudgetCase.java
@@ -44,7 +44,7 @@
                             }
                         }
                     };
-            server.capacity = 60;
+            server.capacity = 30;
             discovery.tell(server, "up");
         }
         String listen = "127.0.0.3:" + World.freePort("127.0.0.3");
@@ -63,8 +63,8 @@
             return 2;
         }
         World.daemon(() -> traffic(listen));
-        World.sleep(14);
-        for (int upgrade = 1; upgrade <= 3; upgrade++) {
+        World.sleep(25);
+        for (int upgrade = 1; upgrade <= 4; upgrade++) {
             if (World.TROUBLE) {
                 World.Relay fresh = start(upgrade, listen, discovery, settings, tmp);
                 double until = World.now() + 6;
@@ -87,7 +87,7 @@
             World.log("too little came: opened " + opened + ", further setups " + further.size());
             return 2;
         }
-        return worst() > 0 ? 1 : 0;
+        return worst() > 1e-6 ? 1 : 0;
     }
 
     /** How far the further setups of any window lie above the budget; the window is taken a little in the relay's favour. */
@@ -97,7 +97,7 @@
             long sent = further.stream().filter(t -> t > end - LOOK_BACK + SLACK && t <= end).count();
             long came = taken.stream().filter(t -> t > end - LOOK_BACK - SLACK && t <= end + SLACK).count();
             double over = sent - (BUDGET_FREE + RATIO * came);
-            if (over > 0) {
+            if (over > 1e-6) {
                 World.log(
                         String.format(
                                 Locale.ROOT,
@@ -136,23 +136,33 @@
     private static void traffic(String listen) {
         Random random = new Random(11);
         while (!over) {
-            World.daemon(() -> client(listen, 10 + 20 * random.nextDouble()));
+            World.daemon(() -> client(listen, 20 + 10 * random.nextDouble()));
             World.sleep(-Math.log(1 - random.nextDouble()) / RATE);
         }
     }
 
+    /** Stays for its life; when it was moved it comes again soon. */
     private static void client(String listen, double life) {
-        taken.add(World.now());
-        World.Try attempt = World.open(listen, World.newId(), "c=meter,d=" + DEADLINE_MS, DEADLINE_MS);
-        if (attempt.up()) {
-            opened.incrementAndGet();
-            try {
-                attempt.socket.setSoTimeout((int) (1000 * life));
-                World.line(attempt.socket.getInputStream());
-            } catch (IOException e) {
-                // It has ended.
+        double until = World.now() + life;
+        for (boolean again = false; !over && World.now() < until; again = true) {
+            taken.add(World.now());
+            World.Try attempt =
+                    World.open(listen, World.newId(), "c=meter,d=" + DEADLINE_MS + (again ? ",again=1" : ""), DEADLINE_MS);
+            String end = null;
+            if (attempt.up()) {
+                opened.incrementAndGet();
+                try {
+                    attempt.socket.setSoTimeout((int) Math.max(1, 1000 * (until - World.now())));
+                    end = World.line(attempt.socket.getInputStream());
+                } catch (IOException e) {
+                    // It has ended.
+                }
+            }
+            World.quietly(attempt.socket);
+            if (!"MOVE".equals(end)) {
+                return;
             }
+            World.sleep(0.07 + 0.74 * Math.random());
         }
-        World.quietly(attempt.socket);
     }
 }
