--- a/review/src-2/World.java
+++ b/review/src-2/World.java
@@ -424,6 +424,15 @@
             log("discovery: " + server.host + " " + health + ", seq " + seq);
         }
 
+        /** Names many servers at once, as discovery's entries. */
+        synchronized void fleet(List<String> list) {
+            for (int i = 0; i < list.size(); i++) {
+                entries.put(String.valueOf(i), list.get(i));
+                changedAt.put(String.valueOf(i), seq);
+            }
+            log("discovery: servers " + list.size() + ", seq " + seq);
+        }
+
         synchronized String whole() {
             List<String> list = new ArrayList<>();
             entries.values().stream().filter(e -> !e.contains("\"removed\"")).forEach(list::add);
