--- a/review/src-2/GroupsCase.java
+++ b/review/src-2/GroupsCase.java
@@ -1,8 +1,8 @@
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.channels.*;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.*;
 import java.util.*;
 import java.util.concurrent.atomic.*;
@@ -34,7 +34,7 @@
                     "{\"host\":\"s-" + i + "\",\"dial\":\"" + address + ":" + channel.socket().getLocalPort()
                             + "\",\"site\":\"pce-rybitvi\",\"class\":\"m\",\"block\":0,\"health\":\"up\",\"share\":1.0,\"born_ms\":0}");
         }
-        World.daemon(() -> accept(selector));
+        World.daemon(() -> serve(selector));
         discovery.fleet(entries);
         String listen = "127.0.0.3:" + World.freePort("127.0.0.3");
         String settings =
@@ -84,40 +84,61 @@
         return alive ? 0 : 1;
     }
 
-    private static void accept(Selector selector) {
-        try {
-            while (true) {
+    /** What came of a line on one connection to a server. */
+    private record Peer(String host, StringBuilder text) {}
+
+    /** All servers, on one thread. */
+    private static void serve(Selector selector) {
+        ByteBuffer bytes = ByteBuffer.allocate(8192);
+        while (true) {
+            try {
                 selector.select();
-                for (SelectionKey key : selector.selectedKeys()) {
-                    SocketChannel channel = ((ServerSocketChannel) key.channel()).accept();
-                    if (channel != null) {
-                        channel.configureBlocking(true);
-                        World.daemon(() -> serve(channel.socket(), (String) key.attachment()));
+            } catch (IOException e) {
+                World.log("the servers' stand-in ended: " + e);
+                return;
+            }
+            for (SelectionKey key : selector.selectedKeys()) {
+                try {
+                    if (key.isAcceptable()) {
+                        SocketChannel channel = ((ServerSocketChannel) key.channel()).accept();
+                        if (channel != null) {
+                            channel.configureBlocking(false);
+                            channel.socket().setTcpNoDelay(true);
+                            Peer peer = new Peer((String) key.attachment(), new StringBuilder());
+                            channel.register(selector, SelectionKey.OP_READ, peer);
+                        }
+                    } else {
+                        read((SocketChannel) key.channel(), (Peer) key.attachment(), bytes);
                     }
+                } catch (IOException e) {
+                    key.cancel();
+                    World.quietly(key.channel());
                 }
-                selector.selectedKeys().clear();
             }
-        } catch (IOException e) {
-            World.log("the servers' stand-in ended: " + e);
+            selector.selectedKeys().clear();
         }
     }
 
-    private static void serve(Socket socket, String host) {
-        try (socket) {
-            socket.setTcpNoDelay(true);
-            InputStream in = socket.getInputStream();
-            for (String text = World.line(in); text != null; text = World.line(in)) {
-                if (text.equals("STATS")) {
-                    World.say(socket, "PONG x0=0.300,qps=0.1,latency_ms=9,eps=0");
-                } else if (text.startsWith("OPEN ")) {
-                    setups.incrementAndGet();
-                    World.say(socket, "UP " + host);
-                } else {
-                    World.say(socket, "R " + text);
-                }
+    private static void read(SocketChannel channel, Peer peer, ByteBuffer bytes) throws IOException {
+        bytes.clear();
+        if (channel.read(bytes) < 0) {
+            channel.close();
+            return;
+        }
+        peer.text.append(new String(bytes.array(), 0, bytes.position(), StandardCharsets.ISO_8859_1));
+        for (int end = peer.text.indexOf("\r\n"); end >= 0; end = peer.text.indexOf("\r\n")) {
+            String line = peer.text.substring(0, end);
+            peer.text.delete(0, end + 2);
+            String answer = "R " + line;
+            if (line.equals("STATS")) {
+                answer = "PONG x0=0.300,qps=0.1,latency_ms=9,eps=0";
+            } else if (line.startsWith("OPEN ")) {
+                setups.incrementAndGet();
+                World.log("server " + peer.host + ": UP " + line.split(" ")[1]);
+                answer = "UP " + peer.host + "-" + line.split(" ")[1];
             }
-        } catch (IOException e) {
-            // The relay ended it.
+            // Answers are short: the socket's own buffer takes them whole.
+            channel.write(ByteBuffer.wrap((answer + "\r\n").getBytes(StandardCharsets.ISO_8859_1)));
         }
     }
 
