Change the cordons under a lock, so that calls at both processes of an upgrade add up

Cause: OperatorService.changeCordon read the file, added an entry and wrote it whole; the later write dropped what the other process had written in between. A process also took the file's time and size after its own write as seen, and so missed a write that came before that look.

Fix: StateLock holds a lock of the operating system from before the read until after the write; a process that dies releases it. The event loop never waits for it: a held lock is tried again every 5 ms, and the call is answered then, or with 500 after 0.8 s. CordonsFile notices other writes by the content. Under the same lock older settings no longer replace later ones of the same service. A short drain grace shortens the interval of the looks. A number that another program got after the new process died no longer counts as the new process. Leftovers of writes that were cut short are deleted.

--- a/relay/src/main/java/asterpulley/door/OperatorApi.java
+++ b/relay/src/main/java/asterpulley/door/OperatorApi.java
@@ -1,5 +1,7 @@
 package asterpulley.door;
 
+import java.util.function.Consumer;
+
 /**
  * The operations that operators may call on a relay. A positive response is given only after the
  * operation has taken effect; a negative one means that nothing was changed.
@@ -33,11 +35,11 @@
     /** Returns which version of the settings is active, as JSON. */
     Response settings();
 
-    /** Stops new setups to a server. */
-    Response cordon(String server);
+    /** Stops new setups to a server; the response may come later, within a second. */
+    void cordon(String server, Consumer<Response> responder);
 
-    /** Allows new setups to a server again. */
-    Response uncordon(String server);
+    /** Allows new setups to a server again; the response may come later, within a second. */
+    void uncordon(String server, Consumer<Response> responder);
 
     /**
      * Reports not ready and moves the clients away, until {@link #resume}; clients that still
--- a/relay/src/main/java/asterpulley/door/OperatorHttpServer.java
+++ b/relay/src/main/java/asterpulley/door/OperatorHttpServer.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
@@ -63,12 +63,18 @@
         private final double connectedAt;
         private double answeredAt;
         private long bodyBytes;
+        private boolean suspended;
 
         private Caller(double connectedAt) {
             this.connectedAt = connectedAt;
         }
     }
 
+    /** What a call asks for. Its response is given at once or later, once. */
+    private interface Operation {
+        void start(Consumer<OperatorApi.Response> responder);
+    }
+
     private final OperatorApi api;
     private final EventLoop loop;
     private final TunnelRegistry registry;
@@ -185,6 +191,12 @@
         } else if (complete) {
             registry.count("operator_calls");
             dispatch(ctx, request, caller);
+            if (caller.answeredAt == 0) {
+                // The response comes later, so the request is kept until then.
+                caller.suspended = true;
+                ctx.suspend();
+                return ctx.getSuspendAction();
+            }
         }
         return ctx.getStopAction();
     }
@@ -209,15 +221,15 @@
         }
         String requiredMethod = GET_PATHS.contains(path) ? "GET" : "POST";
         String serverName = decodedName;
-        Supplier<OperatorApi.Response> operation =
+        Operation operation =
                 switch (path) {
-                    case "/admin/health" -> api::health;
-                    case "/admin/stats" -> api::stats;
-                    case "/admin/settings" -> api::settings;
-                    case "/admin/cordon/" -> () -> api.cordon(serverName);
-                    case "/admin/uncordon/" -> () -> api.uncordon(serverName);
-                    case "/admin/quiesce" -> api::quiesce;
-                    case "/admin/resume" -> api::resume;
+                    case "/admin/health" -> responder -> responder.accept(api.health());
+                    case "/admin/stats" -> responder -> responder.accept(api.stats());
+                    case "/admin/settings" -> responder -> responder.accept(api.settings());
+                    case "/admin/cordon/" -> responder -> api.cordon(serverName, responder);
+                    case "/admin/uncordon/" -> responder -> api.uncordon(serverName, responder);
+                    case "/admin/quiesce" -> responder -> responder.accept(api.quiesce());
+                    case "/admin/resume" -> responder -> responder.accept(api.resume());
                     default -> null;
                 };
         if (operation == null) {
@@ -229,7 +241,28 @@
             respond(ctx, request, caller, 405, path + " is called with " + requiredMethod);
             return;
         }
-        OperatorApi.Response response = operation.get();
+        String contentType = contentType(path);
+        operation.start(response -> respond(ctx, request, caller, contentType, response));
+    }
+
+    private static String contentType(String path) {
+        return switch (path) {
+            case "/admin/stats" -> METRICS_TYPE;
+            case "/admin/settings" -> JSON_TYPE;
+            default -> TEXT_TYPE;
+        };
+    }
+
+    private void respond(
+            FilterChainContext ctx,
+            HttpRequestPacket request,
+            Caller caller,
+            String contentType,
+            OperatorApi.Response response) {
+        if (!callers.containsKey(ctx.getConnection())) {
+            // It left, or gave way to another caller, before the response.
+            return;
+        }
         int status =
                 switch (response.status()) {
                     case OK -> 200;
@@ -237,14 +270,12 @@
                     case UNAVAILABLE -> 503;
                     case FAILED -> 500;
                 };
-        request.getResponse()
-                .setContentType(
-                        !response.ok()
-                                ? TEXT_TYPE
-                                : path.equals("/admin/stats")
-                                        ? METRICS_TYPE
-                                        : path.equals("/admin/settings") ? JSON_TYPE : TEXT_TYPE);
+        request.getResponse().setContentType(response.ok() ? contentType : TEXT_TYPE);
         respond(ctx, request, caller, status, response.text());
+        if (caller.suspended) {
+            caller.suspended = false;
+            ctx.resume(ctx.getStopAction());
+        }
     }
 
     private void respond(
--- a/relay/src/main/java/asterpulley/serve/ControlPlane.java
+++ b/relay/src/main/java/asterpulley/serve/ControlPlane.java
@@ -260,6 +260,13 @@
         return maxClientTimeout;
     }
 
+    /**
+     * Returns for how long a server that is to get no new tunnels may still get some, in seconds.
+     */
+    double drainGrace() {
+        return settings.drainGrace;
+    }
+
     /** Returns the active settings if a service sends them, else null. */
     public ActiveSettings activeSettings() {
         return activeSettings;
--- a/relay/src/main/java/asterpulley/serve/OperatorService.java
+++ b/relay/src/main/java/asterpulley/serve/OperatorService.java
@@ -6,8 +6,11 @@
 import asterpulley.net.LoadBalancerFilter;
 import asterpulley.net.TunnelRegistry;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.logging.Logger;
 
 /**
@@ -18,10 +21,19 @@
     private static final Logger LOG = Logger.getLogger("asterpulley.serve.Operators");
 
     /**
-     * How often the cordons file is checked for changes by another process, well within the second
-     * in which a cordon has to take effect.
+     * How often the cordons file is checked for changes by another process: well within the second
+     * in which a cordon has to take effect, and at least this often within the drain grace, which
+     * starts as that other process reports success.
      */
-    private static final double CORDON_CHECK_INTERVAL_SECONDS = 0.2;
+    private static final double MAX_CORDON_CHECK_INTERVAL_SECONDS = 0.2,
+            CORDON_CHECKS_PER_DRAIN_GRACE = 4,
+            MIN_CORDON_CHECK_INTERVAL_SECONDS = 0.01;
+
+    /**
+     * While another process changes the cordons, a change is tried again at this interval, for as
+     * long as its caller waits for a response.
+     */
+    private static final double CORDON_RETRY_SECONDS = 0.005, CORDON_CHANGE_TIMEOUT_SECONDS = 0.8;
 
     /** How often the learned values are stored; they change slowly. */
     private static final double STORE_LEARNED_INTERVAL_SECONDS = 2;
@@ -37,6 +49,7 @@
     /** Null if no service sends settings. */
     private final SettingsWatcher settingsWatcher;
 
+    private final DoubleSupplier drainGrace;
     private boolean accepting;
 
     OperatorService(
@@ -45,13 +58,15 @@
             LoadBalancerFilter loadBalancer,
             EventLoop loop,
             StateFiles stateFiles,
-            SettingsWatcher settingsWatcher) {
+            SettingsWatcher settingsWatcher,
+            DoubleSupplier drainGrace) {
         this.gracefulShutdown = gracefulShutdown;
         this.registry = registry;
         this.loadBalancer = loadBalancer;
         this.loop = loop;
         this.stateFiles = stateFiles;
         this.settingsWatcher = settingsWatcher;
+        this.drainGrace = drainGrace;
     }
 
     /**
@@ -76,7 +91,16 @@
         if (stateFiles.cordonsChanged()) {
             applyStoredCordons();
         }
-        loop.schedule(CORDON_CHECK_INTERVAL_SECONDS, this::checkStoredCordons);
+        loop.schedule(cordonCheckInterval(drainGrace.getAsDouble()), this::checkStoredCordons);
+    }
+
+    /** Returns how often another process's cordons are looked for where this grace is allowed. */
+    static double cordonCheckInterval(double drainGraceSeconds) {
+        return Math.max(
+                MIN_CORDON_CHECK_INTERVAL_SECONDS,
+                Math.min(
+                        MAX_CORDON_CHECK_INTERVAL_SECONDS,
+                        drainGraceSeconds / CORDON_CHECKS_PER_DRAIN_GRACE));
     }
 
     private void storeLearned() {
@@ -87,10 +111,13 @@
     }
 
     private void applyStoredCordons() {
-        stateFiles
-                .cordons()
-                .filter(servers -> !servers.equals(loadBalancer.cordonedServers()))
-                .ifPresent(loadBalancer::setCordonedServers);
+        stateFiles.cordons().ifPresent(this::applyCordons);
+    }
+
+    private void applyCordons(Set<String> servers) {
+        if (!servers.equals(loadBalancer.cordonedServers())) {
+            loadBalancer.setCordonedServers(servers);
+        }
     }
 
     /** Called when clients can be accepted. */
@@ -134,50 +161,84 @@
     }
 
     @Override
-    public Response cordon(String server) {
-        return changeCordon(server, true);
+    public void cordon(String server, Consumer<Response> responder) {
+        changeCordon(new CordonChange(server, true, responder));
     }
 
     @Override
-    public Response uncordon(String server) {
-        return changeCordon(server, false);
+    public void uncordon(String server, Consumer<Response> responder) {
+        changeCordon(new CordonChange(server, false, responder));
     }
 
-    private Response changeCordon(String server, boolean cordon) {
-        if (!loadBalancer.isKnown(server)) {
-            return new Response(Status.NOT_FOUND, "no backend " + server);
-        }
-        // Cordons that another process has just set count as well.
-        Set<String> cordoned =
-                new TreeSet<>(
-                        stateFiles == null
-                                ? loadBalancer.cordonedServers()
-                                : stateFiles.cordons().orElse(loadBalancer.cordonedServers()));
-        if (cordon ? cordoned.add(server) : cordoned.remove(server)) {
-            try {
-                if (stateFiles != null) {
-                    stateFiles.cordons(cordoned);
-                }
-            } catch (IOException e) {
-                LOG.warning(
-                        "not done, since it cannot be kept over an upgrade: "
-                                + (cordon ? "cordon " : "uncordon ")
-                                + server
-                                + ", "
-                                + e);
-                return new Response(
-                        Status.FAILED,
-                        "not done: it could not be kept over an upgrade, no room for its file");
+    /** One call of an operator, which is answered once. */
+    private record CordonChange(String server, boolean cordon, Consumer<Response> responder) {
+        private Set<String> applyTo(Set<String> servers) {
+            Set<String> changed = new TreeSet<>(servers);
+            if (cordon) {
+                changed.add(server);
+            } else {
+                changed.remove(server);
             }
+            return changed;
         }
-        if (!cordoned.equals(loadBalancer.cordonedServers())) {
-            loadBalancer.setCordonedServers(cordoned);
+
+        @Override
+        public String toString() {
+            return (cordon ? "cordon " : "uncordon ") + server;
         }
-        return Response.ok(
-                server
-                        + (cordon ? " is left out" : " is back")
-                        + ", left out now: "
-                        + cordoned.size());
+    }
+
+    private void changeCordon(CordonChange change) {
+        if (!loadBalancer.isKnown(change.server)) {
+            change.responder.accept(new Response(Status.NOT_FOUND, "no backend " + change.server));
+        } else if (stateFiles == null) {
+            Set<String> cordoned = change.applyTo(loadBalancer.cordonedServers());
+            applyCordons(cordoned);
+            confirm(change, cordoned);
+        } else if (change.cordon && !CordonsFile.canHold(change.server)) {
+            refuse(change, "its name cannot be stored", null);
+        } else {
+            tryChangeStoredCordons(change, loop.now() + CORDON_CHANGE_TIMEOUT_SECONDS);
+        }
+    }
+
+    /** Changes what all processes of this relay share, as soon as no other one is changing it. */
+    private void tryChangeStoredCordons(CordonChange change, double deadline) {
+        try {
+            Optional<Set<String>> cordoned =
+                    stateFiles.changeCordons(change::applyTo, loadBalancer.cordonedServers());
+            if (cordoned.isPresent()) {
+                applyCordons(cordoned.get());
+                confirm(change, cordoned.get());
+            } else if (loop.now() < deadline) {
+                loop.schedule(CORDON_RETRY_SECONDS, () -> tryChangeStoredCordons(change, deadline));
+            } else {
+                refuse(change, "another process holds its file", null);
+            }
+        } catch (IOException e) {
+            refuse(change, "no room for its file", e);
+        }
+    }
+
+    private static void confirm(CordonChange change, Set<String> cordoned) {
+        change.responder.accept(
+                Response.ok(
+                        change.server
+                                + (change.cordon ? " is left out" : " is back")
+                                + ", left out now: "
+                                + cordoned.size()));
+    }
+
+    private static void refuse(CordonChange change, String reason, IOException cause) {
+        LOG.warning(
+                "not done, since it cannot be kept over an upgrade: "
+                        + change
+                        + ", "
+                        + (cause == null ? reason : cause));
+        change.responder.accept(
+                new Response(
+                        Status.FAILED,
+                        "not done: it could not be kept over an upgrade, " + reason));
     }
 
     @Override
--- a/relay/src/main/java/asterpulley/serve/RelayInstance.java
+++ b/relay/src/main/java/asterpulley/serve/RelayInstance.java
@@ -159,7 +159,8 @@
                                 loadBalancer,
                                 loop,
                                 stateFiles,
-                                settingsWatcher);
+                                settingsWatcher,
+                                controlPlane::drainGrace);
         operatorServer =
                 operatorService == null
                         ? null
--- a/relay/src/main/java/asterpulley/serve/SettingsWatcher.java
+++ b/relay/src/main/java/asterpulley/serve/SettingsWatcher.java
@@ -1,6 +1,7 @@
 package asterpulley.serve;
 
 import asterpulley.decode.Json;
+import asterpulley.net.Addresses;
 import asterpulley.net.EventLoop;
 import asterpulley.net.LongPollClient;
 import asterpulley.net.TunnelRegistry;
@@ -46,6 +47,9 @@
      */
     private static final double CALL_SPACING_SECONDS = 0.05;
 
+    /** When to try again to store settings while the other process of an upgrade stores its own. */
+    private static final double STORE_RETRY_SECONDS = 0.01;
+
     /** A service that answers sooner than this and without news does not wait for news. */
     private static final double IMMEDIATE_ANSWER_SECONDS = POLL_WAIT_SECONDS / 2;
 
@@ -249,8 +253,13 @@
 
     private void storeSettings() {
         try {
-            if (stateFiles != null) {
-                stateFiles.settings(activeSettings.snapshot());
+            if (stateFiles != null
+                    && !stateFiles.storeSettings(
+                            Addresses.format(poll.address()),
+                            activeSettings.version(),
+                            activeSettings.snapshot())) {
+                loop.schedule(STORE_RETRY_SECONDS, this::storeSettings);
+                return;
             }
             lastWriteSucceeded = true;
         } catch (IOException e) {
--- a/relay/src/main/java/asterpulley/serve/StateFiles.java
+++ b/relay/src/main/java/asterpulley/serve/StateFiles.java
@@ -1,90 +1,97 @@
 package asterpulley.serve;
 
 import asterpulley.decode.Json;
+import asterpulley.settings.ActiveSettings;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.attribute.BasicFileAttributes;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.UnaryOperator;
 import java.util.logging.Logger;
 
 /**
  * The files by which the processes of one relay share state: the cordoned servers, which process
  * serves, the learned values, and the active settings if a service sends them. They are small, and
- * on the platform they are in memory. Each is written whole (a new file, then a rename) or not at
- * all. An unreadable file never keeps a relay from starting; for cordons and settings the log names
- * it.
+ * on the platform they are in memory. Each is written whole or not at all, and what is read,
+ * changed and written is changed under a lock, since both processes of an upgrade may do so at
+ * once. An unreadable file never keeps a relay from starting; for cordons and settings the log
+ * names it.
  */
 final class StateFiles {
     private static final Logger LOG = Logger.getLogger("asterpulley.serve.Kept");
-    private static final String CORDONS_HEAD = "left out by operators, one a line",
-            CORDONS_END = "end ";
-    private final Path cordonsFile, servingFile, learnedFile, settingsFile;
-    private Object lastSeenStamp = "never read";
+
+    /** How much later than its process may a file be written, by the clocks of both. */
+    private static final Duration CLOCK_TOLERANCE = Duration.ofSeconds(1);
+
+    /** Field of the stored settings: the service that sent them. */
+    private static final String SERVICE = "service";
+
+    private final CordonsFile cordonsFile;
+    private final Path servingFile, learnedFile, settingsFile;
+    private final StateLock lock;
 
     /**
      * @param relayName part of the files' names, since several relays may share a folder
      */
     StateFiles(Path folder, String relayName) {
-        String fileSafeName = relayName.replaceAll("[^A-Za-z0-9._-]", "_");
-        cordonsFile = folder.resolve("asterpulley-" + fileSafeName + ".cordons");
-        servingFile = folder.resolve("asterpulley-" + fileSafeName + ".serving");
-        learnedFile = folder.resolve("asterpulley-" + fileSafeName + ".learned");
-        settingsFile = folder.resolve("asterpulley-" + fileSafeName + ".settings");
-    }
-
-    /**
-     * Returns the cordoned servers; empty if there is no file or it cannot be read. Of a truncated
-     * file the complete lines count: a cordon that stays by mistake can be lifted.
-     */
-    Optional<Set<String>> cordons() {
-        Set<String> servers = new TreeSet<>();
-        lastSeenStamp = cordonsStamp();
+        String prefix = "asterpulley-" + relayName.replaceAll("[^A-Za-z0-9._-]", "_") + ".";
+        Path cordons = folder.resolve(prefix + "cordons");
+        cordonsFile = new CordonsFile(cordons);
+        servingFile = folder.resolve(prefix + "serving");
+        learnedFile = folder.resolve(prefix + "learned");
+        settingsFile = folder.resolve(prefix + "settings");
+        lock = new StateLock(folder.resolve(prefix + "lock"));
         try {
-            String text = Files.readString(cordonsFile, StandardCharsets.ISO_8859_1);
-            List<String> lines = text.lines().toList();
-            for (int i = 1; i < lines.size(); i++) {
-                boolean complete = i + 1 < lines.size() || text.endsWith("\n");
-                if (complete && lines.get(i).matches("[!-~]{1,255}")) {
-                    servers.add(lines.get(i));
-                }
-            }
-            if (!text.startsWith(CORDONS_HEAD + "\n")
-                    || !text.endsWith("\n" + CORDONS_END + servers.size() + "\n")) {
-                LOG.warning(
-                        "truncated or not a cordons file: "
-                                + cordonsFile
-                                + ", its readable entries count: "
-                                + servers);
+            for (Path file : List.of(cordons, servingFile, learnedFile, settingsFile)) {
+                AtomicFiles.deleteLeftovers(file);
             }
-        } catch (NoSuchFileException e) {
-            return Optional.empty();
         } catch (IOException e) {
-            LOG.warning(
-                    "cannot be read: "
-                            + cordonsFile
-                            + ", "
-                            + e.getClass().getSimpleName()
-                            + "; the cordons stay as they are");
-            return Optional.empty();
+            // Leftovers only take a little room.
+            LOG.fine("leftovers of earlier processes stay: " + e);
         }
-        return Optional.of(servers);
     }
 
-    /** Stores the cordoned servers. */
+    /** Returns the cordoned servers; empty if there is no file or it cannot be read. */
+    Optional<Set<String>> cordons() {
+        return cordonsFile.read();
+    }
+
+    /** Replaces the cordoned servers, whatever another process has stored meanwhile. */
     void cordons(Set<String> servers) throws IOException {
-        StringBuilder text = new StringBuilder(CORDONS_HEAD).append('\n');
-        servers.forEach(server -> text.append(server).append('\n'));
-        write(cordonsFile, text.append(CORDONS_END).append(servers.size()).append('\n').toString());
-        lastSeenStamp = cordonsStamp();
+        cordonsFile.write(servers);
+    }
+
+    /**
+     * Changes the cordoned servers that are stored, so that no cordon of another process is lost.
+     *
+     * @param known the cordoned servers that count if none are stored
+     * @return the cordoned servers from now on; empty if another process is changing them just now
+     *     and nothing was done
+     */
+    Optional<Set<String>> changeCordons(UnaryOperator<Set<String>> change, Set<String> known)
+            throws IOException {
+        Set<String> current = cordonsFile.read().orElse(known);
+        if (change.apply(current).equals(current)) {
+            return Optional.of(current);
+        }
+        Set<String> changed = new TreeSet<>();
+        boolean applied =
+                lock.tryApply(
+                        () -> {
+                            changed.addAll(change.apply(cordonsFile.read().orElse(known)));
+                            cordonsFile.write(changed);
+                        });
+        return applied ? Optional.of(changed) : Optional.empty();
     }
 
     /**
@@ -92,20 +99,7 @@
      * them.
      */
     boolean cordonsChanged() {
-        return !lastSeenStamp.equals(cordonsStamp());
-    }
-
-    private Object cordonsStamp() {
-        try {
-            BasicFileAttributes attributes =
-                    Files.readAttributes(cordonsFile, BasicFileAttributes.class);
-            return List.of(
-                    attributes.lastModifiedTime(),
-                    attributes.size(),
-                    String.valueOf(attributes.fileKey()));
-        } catch (IOException e) {
-            return "none";
-        }
+        return cordonsFile.hasChanged();
     }
 
     /**
@@ -128,7 +122,7 @@
         StringBuilder text = new StringBuilder();
         Arrays.stream(values).forEach(value -> text.append((float) value).append('\n'));
         try {
-            write(learnedFile, text.toString());
+            AtomicFiles.write(learnedFile, text.toString());
         } catch (IOException e) {
             LOG.fine("learned values not stored: " + e);
         }
@@ -145,15 +139,42 @@
         }
     }
 
-    /** Stores the active settings. */
-    void settings(Map<String, Object> snapshot) throws IOException {
-        write(settingsFile, Json.text(snapshot) + "\n");
+    /**
+     * Stores the active settings, unless another process has stored later ones of this service:
+     * versions of different services have no order.
+     *
+     * @param service address of the service that sent them
+     * @return false if another process is storing just now and nothing was done
+     */
+    boolean storeSettings(
+            String service, ActiveSettings.Version version, Map<String, Object> snapshot)
+            throws IOException {
+        Map<String, Object> stored = new LinkedHashMap<>(snapshot);
+        stored.put(SERVICE, service);
+        return lock.tryApply(
+                () -> {
+                    if (storedSettingsVersion(service).compareTo(version) <= 0) {
+                        AtomicFiles.write(settingsFile, Json.text(stored) + "\n");
+                    }
+                });
+    }
+
+    private ActiveSettings.Version storedSettingsVersion(String service) {
+        try {
+            Map<String, Object> stored = settings();
+            return stored == null || !service.equals(stored.get(SERVICE))
+                    ? ActiveSettings.Version.NONE
+                    : new ActiveSettings.Version(
+                            Json.integer(stored, "epoch"), Json.integer(stored, "seq"));
+        } catch (IOException | Json.MalformedException e) {
+            return ActiveSettings.Version.NONE;
+        }
     }
 
     /** Records that this process serves from now on. */
     void markServing() {
         try {
-            write(servingFile, ProcessHandle.current().pid() + "\n");
+            AtomicFiles.write(servingFile, ProcessHandle.current().pid() + "\n");
         } catch (IOException e) {
             LOG.warning(
                     "cannot be written: "
@@ -166,21 +187,21 @@
     boolean isSuperseded() {
         try {
             long pid = Long.parseLong(Files.readString(servingFile).trim());
-            return pid != ProcessHandle.current().pid() && ProcessHandle.of(pid).isPresent();
+            Instant writtenAt = Files.getLastModifiedTime(servingFile).toInstant();
+            return pid != ProcessHandle.current().pid()
+                    && ProcessHandle.of(pid)
+                            .filter(process -> startedBefore(process, writtenAt))
+                            .isPresent();
         } catch (IOException | NumberFormatException e) {
             return false;
         }
     }
 
-    private static void write(Path file, String text) throws IOException {
-        Path temporary =
-                file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
-        try {
-            Files.writeString(temporary, text, StandardCharsets.UTF_8);
-            Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
-        } catch (IOException e) {
-            Files.deleteIfExists(temporary);
-            throw e;
-        }
+    /** A process that started later has the number of the one that wrote, which has died. */
+    private static boolean startedBefore(ProcessHandle process, Instant writtenAt) {
+        return process.info()
+                .startInstant()
+                .map(startedAt -> !startedAt.isAfter(writtenAt.plus(CLOCK_TOLERANCE)))
+                .orElse(true);
     }
 }
--- a/relay/src/test/java/asterpulley/serve/StateFilesTest.java
+++ b/relay/src/test/java/asterpulley/serve/StateFilesTest.java
@@ -5,10 +5,17 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import asterpulley.settings.ActiveSettings;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -48,6 +55,94 @@
         }
     }
 
+    /** Guards against another process's write that is missed since it follows the own one. */
+    @Test
+    void noticesWritesOfAnotherProcessRightAfterItsOwn() throws IOException {
+        StateFiles one = new StateFiles(folder, "n1");
+        StateFiles two = new StateFiles(folder, "n1");
+        FileTime time = FileTime.fromMillis(1_000_000);
+        one.cordons(Set.of("s-1"));
+        Files.setLastModifiedTime(file("cordons"), time);
+        assertFalse(one.cordonsChanged());
+        two.cordons(Set.of("s-2"));
+        Files.setLastModifiedTime(file("cordons"), time);
+        assertTrue(one.cordonsChanged(), "of the same length and at the same time");
+        assertEquals(Optional.of(Set.of("s-2")), one.cordons());
+    }
+
+    /** Guards against a change that replaces what another process has stored. */
+    @Test
+    void changesOfTwoProcessesAddUp() throws Exception {
+        Set<String> names = new TreeSet<>();
+        List<Thread> writers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            String prefix = "s-" + i + "-";
+            StateFiles stateFiles = new StateFiles(folder, "n1");
+            for (int n = 0; n < 50; n++) {
+                names.add(prefix + n);
+            }
+            writers.add(
+                    new Thread(
+                            () -> {
+                                for (int n = 0; n < 50; n++) {
+                                    addPatiently(stateFiles, prefix + n);
+                                }
+                            }));
+        }
+        writers.forEach(Thread::start);
+        for (Thread writer : writers) {
+            writer.join();
+        }
+        assertEquals(Optional.of(names), new StateFiles(folder, "n1").cordons());
+    }
+
+    private static void addPatiently(StateFiles stateFiles, String name) {
+        try {
+            while (stateFiles
+                    .changeCordons(
+                            servers -> {
+                                Set<String> more = new TreeSet<>(servers);
+                                more.add(name);
+                                return more;
+                            },
+                            Set.of())
+                    .isEmpty()) {
+                Thread.onSpinWait();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Guards against settings of a slow process that replace later ones of the other. */
+    @Test
+    void storesNoOlderSettingsOfTheSameService() throws IOException {
+        StateFiles one = new StateFiles(folder, "n1");
+        StateFiles two = new StateFiles(folder, "n1");
+        assertTrue(two.storeSettings("a:1", version(6), Map.of("epoch", 1, "seq", 6)));
+        assertTrue(one.storeSettings("a:1", version(5), Map.of("epoch", 1, "seq", 5)));
+        assertEquals(6L, ((Number) one.settings().get("seq")).longValue());
+        assertTrue(one.storeSettings("b:1", version(2), Map.of("epoch", 1, "seq", 2)));
+        assertEquals(2L, ((Number) two.settings().get("seq")).longValue(), "of another service");
+        Files.writeString(file("settings"), "{\"epoch\":");
+        assertTrue(one.storeSettings("b:1", version(1), Map.of("epoch", 1, "seq", 1)));
+        assertEquals(1L, ((Number) two.settings().get("seq")).longValue());
+    }
+
+    private static ActiveSettings.Version version(long seq) {
+        return new ActiveSettings.Version(1, seq);
+    }
+
+    /** Guards against a grace that is over before another process looks at the cordons. */
+    @Test
+    void looksAtCordonsWithinTheDrainGrace() {
+        for (double grace : new double[] {0.05, 0.1, 0.5, 3}) {
+            assertTrue(2 * OperatorService.cordonCheckInterval(grace) <= grace, "at " + grace);
+            assertTrue(OperatorService.cordonCheckInterval(grace) <= 0.2, "at " + grace);
+        }
+        assertTrue(OperatorService.cordonCheckInterval(0) > 0);
+    }
+
     @Test
     void readsCompleteLinesOfATruncatedFile() throws IOException {
         StateFiles stateFiles = new StateFiles(folder, "n1");
@@ -108,6 +203,10 @@
         Process other = new ProcessBuilder("sleep", "60").start();
         Files.writeString(file("serving"), other.pid() + "\n");
         assertTrue(stateFiles.isSuperseded());
+        Files.setLastModifiedTime(file("serving"), FileTime.from(Instant.now().minusSeconds(60)));
+        assertFalse(stateFiles.isSuperseded(), "its number belonged to one that has died");
+        Files.writeString(file("serving"), other.pid() + "\n");
+        assertTrue(stateFiles.isSuperseded());
         other.destroyForcibly().waitFor();
         assertFalse(stateFiles.isSuperseded(), "it has died");
         for (String wrong : new String[] {"", "12", "x\n", "-1\n", "99999999999999999999\n"}) {
--- a/relay/src/test/java/asterpulley/serve/UpgradeTest.java
+++ b/relay/src/test/java/asterpulley/serve/UpgradeTest.java
@@ -1,6 +1,7 @@
 package asterpulley.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -8,12 +9,18 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BrokenBarrierException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -238,6 +245,137 @@
         }
     }
 
+    /**
+     * Guards against a cordon that is lost after its yes, when both processes are called at once.
+     */
+    @Test
+    void cordonsAtBothProcessesAtOnceAreAllKept() throws Exception {
+        clientPort = freePort();
+        Backend one = echoBackend();
+        Backend two = echoBackend();
+        Backend three = echoBackend();
+        RelayProcess old = new RelayProcess(one, two, three).awaitReady();
+        RelayProcess next = new RelayProcess(one, two, three).awaitReady();
+        for (int round = 0; round < 30; round++) {
+            callAtOnce(old, "cordon/s1", next, "cordon/s2");
+            for (RelayProcess process : List.of(old, next)) {
+                awaitUnavailable(process, 2);
+            }
+            callAtOnce(old, "uncordon/s2", next, "uncordon/s1");
+            for (RelayProcess process : List.of(old, next)) {
+                awaitUnavailable(process, 0);
+            }
+        }
+        callAtOnce(old, "cordon/s1", next, "uncordon/s2");
+        RelayProcess last = new RelayProcess(one, two, three).awaitReady();
+        assertEquals(1, last.metric("members_unavailable"), "read by the next process");
+    }
+
+    private static void callAtOnce(
+            RelayProcess first, String firstCall, RelayProcess second, String secondCall)
+            throws Exception {
+        CyclicBarrier together = new CyclicBarrier(2);
+        CompletableFuture<Integer> firstStatus =
+                CompletableFuture.supplyAsync(() -> callTogether(together, first, firstCall));
+        assertEquals(200, callTogether(together, second, secondCall), secondCall);
+        assertEquals(200, firstStatus.get(20, TimeUnit.SECONDS), firstCall);
+    }
+
+    private static int callTogether(CyclicBarrier together, RelayProcess process, String call) {
+        try {
+            together.await();
+        } catch (InterruptedException | BrokenBarrierException e) {
+            throw new IllegalStateException(e);
+        }
+        return process.call("POST", call);
+    }
+
+    /** A cordon that was confirmed anywhere counts at every process within a second. */
+    private static void awaitUnavailable(RelayProcess process, int expected) throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+        while (process.metric("members_unavailable") != expected) {
+            assertTrue(System.nanoTime() < deadline, Files.readString(process.logFile));
+            Thread.sleep(5);
+        }
+    }
+
+    /** Guards against a stuck process that keeps the other one from answering and serving. */
+    @Test
+    void cordonWaitsForAnotherChangeWithoutBlockingTheRelay() throws Exception {
+        clientPort = freePort();
+        Backend one = echoBackend();
+        RelayProcess relayProcess = new RelayProcess(one, echoBackend()).awaitReady();
+        Path lockFile = folder.resolve("asterpulley-n1.lock");
+        try (FileChannel channel =
+                FileChannel.open(lockFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            FileLock lock = channel.lock();
+            CompletableFuture<Integer> status =
+                    CompletableFuture.supplyAsync(() -> relayProcess.call("POST", "cordon/s1"));
+            for (int i = 0; i < 10; i++) {
+                assertEquals(null, failureOfOpen("a" + i), "serves meanwhile");
+            }
+            TestConnection impatient =
+                    new TestConnection(new Socket("127.0.0.1", relayProcess.operatorPort));
+            impatient.send(
+                    "POST /admin/cordon/s2 HTTP/1.1\r\nHost: d\r\nContent-Length: 0\r\n\r\n");
+            impatient.reset();
+            assertEquals(200, relayProcess.call("GET", "health"));
+            lock.release();
+            assertEquals(200, status.get(20, TimeUnit.SECONDS));
+            lock = channel.lock();
+            long calledAt = System.nanoTime();
+            assertEquals(500, relayProcess.call("POST", "uncordon/s1"), "not done");
+            assertTrue(System.nanoTime() - calledAt < TimeUnit.SECONDS.toNanos(1));
+            lock.release();
+        }
+        assertEquals(200, relayProcess.call("POST", "uncordon/s1"));
+    }
+
+    /** Guards against a lock that outlives the process which died while it held it. */
+    @Test
+    void processKilledDuringAChangeLeavesTheFilesUsable() throws Exception {
+        clientPort = freePort();
+        RelayProcess relayProcess = new RelayProcess(echoBackend(), echoBackend()).awaitReady();
+        Process holder =
+                new ProcessBuilder(
+                                ProcessHandle.current().info().command().orElse("java"),
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                LockHolder.class.getName(),
+                                folder.resolve("asterpulley-n1.lock").toString())
+                        .redirectErrorStream(true)
+                        .start();
+        resources.add(holder::destroyForcibly);
+        assertEquals('L', holder.getInputStream().read(), "it holds the lock");
+        Path leftover = folder.resolve("asterpulley-n1.cordons." + holder.pid());
+        Files.writeString(leftover, "left out by operators, one a line\ns1\n");
+        CompletableFuture<Integer> status =
+                CompletableFuture.supplyAsync(() -> relayProcess.call("POST", "cordon/s2"));
+        holder.destroyForcibly().waitFor();
+        assertEquals(200, status.get(20, TimeUnit.SECONDS));
+        assertEquals(1, relayProcess.metric("members_unavailable"));
+        RelayProcess next = new RelayProcess(echoBackend(), echoBackend()).awaitReady();
+        assertEquals(1, next.metric("members_unavailable"));
+        assertFalse(Files.exists(leftover), "deleted by the next process");
+    }
+
+    /** Holds the lock of the shared files until it is killed. */
+    static final class LockHolder {
+        private LockHolder() {}
+
+        public static void main(String[] arguments) throws Exception {
+            FileChannel channel =
+                    FileChannel.open(
+                            Path.of(arguments[0]),
+                            StandardOpenOption.CREATE,
+                            StandardOpenOption.WRITE);
+            channel.lock();
+            System.out.print("L");
+            System.out.flush();
+            Thread.sleep(TimeUnit.MINUTES.toMillis(2));
+        }
+    }
+
     @Test
     void failedUpgradeKeepsOldProcessServingAndNextUpgradeMovesClients() throws Exception {
         clientPort = freePort();
