Keep of groups, timers, ended tunnels and replaced servers only what is in use

Cause: LoadBalancer kept an order of all servers and a count by server for every group ever named. A class histogram after 6,000 clients, one every 2 ms, showed a second holder: tunnels that had ended stayed for 10 s in the timer for half-closed tunnels (4,522 of them, 9 MB of connections).

Fix: GroupAffinity, taken out of LoadBalancer, counts groups with open tunnels by the servers that have one, and caches orders of servers in 1 MiB. The timer is cancelled when both connections are closed. On related paths: cancelled timers no longer stay until they are due, which clients choose (d); times of tunnels for the retry budget leave with the window also without retries; a server's index is used again 10 minutes after it left the list; dial addresses go with a whole list; a client's first line is let go.

--- a/core/src/main/java/asterpulley/Frontend.java
+++ b/core/src/main/java/asterpulley/Frontend.java
@@ -38,8 +38,8 @@
 
     /**
      * Returns true if the tunnel may use this server now. Restrictions such as routes are applied
-     * here; called often. {@code serverIndex} stands for the server's name as long as the load
-     * balancer lives.
+     * here; called often. {@code serverIndex} stands for the server's name until that server has
+     * left the list for some minutes, and may stand for another name then.
      */
     default boolean isEligible(LoadBalancer.Tunnel tunnel, int serverIndex, String serverName) {
         return true;
--- a/core/src/main/java/asterpulley/LoadBalancer.java
+++ b/core/src/main/java/asterpulley/LoadBalancer.java
@@ -128,27 +128,6 @@
      */
     private static final double FEE_TO_LOAD_FACTOR = 4;
 
-    /**
-     * Load of a group's shared work on a server without a tunnel of that group. Its real value is
-     * not configured; it is of the order of a few units.
-     */
-    private static final double GROUP_COST_UNITS = 2;
-
-    /**
-     * Weight of {@link #GROUP_COST_UNITS} when a server is chosen: the cost lasts as long as the
-     * group and spreads to every server that gets one of its tunnels.
-     */
-    private static final double GROUP_AFFINITY_WEIGHT = 10;
-
-    /**
-     * By how much each further rank in the group's server order raises the chance that no sibling
-     * holds the group there.
-     */
-    private static final double NO_HOLDER_CHANCE_PER_RANK = 0.35;
-
-    /** Chance that one relay of the zone does not hold a group at the group's first server. */
-    private static final double NO_HOLDER_CHANCE_PER_RELAY = 0.25;
-
     /** An own placement is extrapolated to at most this many siblings. */
     private static final double MAX_SIBLINGS_EXTRAPOLATED = 4;
 
@@ -259,6 +238,12 @@
      */
     private static final double RELAYS_PER_BACKOFF_SECOND = 40;
 
+    /**
+     * A server that left the list this long ago may be forgotten: longer than any setup is pending,
+     * and than a server usually takes to return under its name.
+     */
+    private static final double FORGET_SERVER_SECONDS = 600;
+
     private static final double TICK_SECONDS = 0.1;
 
     /** Factor by which one tick decays the evidence on a server's health. */
@@ -287,9 +272,6 @@
     private int serverCount;
     private int zoneCount = 1;
 
-    /** Chance that no sibling holds a group at the server that comes first in the group's order. */
-    private double noHolderBaseChance = 1;
-
     /** Largest warm capacity of all servers, in mean loads. */
     private double largestCapacity = 2 * MIN_CAPACITY_UNITS;
 
@@ -364,6 +346,9 @@
     /** When draining began or the server last closed a tunnel itself; 0 if not draining. */
     private double[] lastDrainActivityAt = {};
 
+    /** When the server left the list; meaningless while it is listed. */
+    private double[] delistedAt = {};
+
     /** Longest wait for a setup that timed out since the last report; 0: none. */
     private double[] timedOutLatency = {};
 
@@ -377,10 +362,7 @@
      */
     private Set<String> cordonedServers = Set.of();
 
-    /** Open tunnels of this relay by group and server. */
-    private final Map<String, int[]> groupTunnelCounts = new HashMap<>();
-
-    private final Map<String, int[]> groupServerOrders = new HashMap<>();
+    private final GroupAffinity groupAffinity = new GroupAffinity();
 
     /** Mean load of a profile's tunnels, in cores. */
     private double[] profileLoad = {};
@@ -760,21 +742,10 @@
             serverByKey.put(tunnel.key, server);
         }
         if (tunnel.group != null) {
-            tunnelCountsOfGroup(tunnel.group, server)[server]++;
+            groupAffinity.tunnelOpened(tunnel.group, server);
         }
     }
 
-    /**
-     * Returns this relay's open tunnels of the group by server; the array reaches at least to this
-     * server.
-     */
-    private int[] tunnelCountsOfGroup(String group, int server) {
-        return groupTunnelCounts.merge(
-                group,
-                new int[server + 1],
-                (a, b) -> a.length > server ? a : Arrays.copyOf(a, server + 1));
-    }
-
     /** Removes an open tunnel from its server's accounts. */
     private void detach(Tunnel tunnel) {
         int server = tunnel.openServer;
@@ -787,7 +758,7 @@
             serverByKey.remove(tunnel.key, server);
         }
         if (tunnel.group != null) {
-            groupTunnelCounts.get(tunnel.group)[server]--;
+            groupAffinity.tunnelEnded(tunnel.group, server);
         }
         recordPlacement(server, -tunnel.units / capacity(server), 0);
     }
@@ -947,25 +918,13 @@
     private int bestServer(Tunnel tunnel, BitSet excluded) {
         double now = frontend.now();
         double units = toUnits(tunnel.profileIndex, profileLoad[tunnel.profileIndex]);
-        int[] groupCounts =
-                tunnel.group == null
-                        ? null
-                        : groupTunnelCounts.getOrDefault(tunnel.group, new int[0]);
-        int[] nextRanks = new int[zoneCount];
-        // If crossing zones costs less than one more server with the group, the group gathers in
-        // one place for all zones.
-        boolean rankedAcrossZones =
-                FEE_TO_LOAD_FACTOR * settings.crossZoneFee
-                        < NO_HOLDER_CHANCE_PER_RANK
-                                * GROUP_AFFINITY_WEIGHT
-                                * GROUP_COST_UNITS
-                                / largestCapacity;
-        // Beyond this rank the group's cost alone exceeds a full server, even on the largest
-        // servers.
-        double maxRank =
-                (FULL_LOAD_FACTOR * largestCapacity / (GROUP_AFFINITY_WEIGHT * GROUP_COST_UNITS)
-                                - noHolderBaseChance)
-                        / NO_HOLDER_CHANCE_PER_RANK;
+        GroupAffinity.Search groupSearch =
+                groupAffinity.search(
+                        tunnel.group,
+                        zoneCount,
+                        FEE_TO_LOAD_FACTOR * settings.crossZoneFee,
+                        FULL_LOAD_FACTOR,
+                        largestCapacity);
         int bestServer = -1;
         double lowestFactor = Double.MAX_VALUE;
         int ties = 0;
@@ -975,23 +934,11 @@
             if (!isAvailable(server)) {
                 continue;
             }
-            int rank = nextRanks[rankedAcrossZones ? 0 : zones[server]]++;
-            boolean holdsGroup =
-                    groupCounts == null || server < groupCounts.length && groupCounts[server] > 0;
-            if (!holdsGroup && rank > maxRank) {
+            if (!groupSearch.reaches(server, zones[server])) {
                 continue;
             }
-            // Chance that no sibling holds the group at the server of this rank in the zone.
-            double noHolderChance =
-                    Math.min(1, noHolderBaseChance + NO_HOLDER_CHANCE_PER_RANK * rank);
-            // Uses the warm capacity since a group lasts longer than a server's warm-up.
-            double factor =
-                    holdsGroup
-                            ? 0
-                            : GROUP_AFFINITY_WEIGHT
-                                    * GROUP_COST_UNITS
-                                    * noHolderChance
-                                    / warmCapacity(server);
+            boolean holdsGroup = groupSearch.holdsGroup();
+            double factor = holdsGroup ? 0 : groupSearch.loadFactor(warmCapacity(server));
             if (factor > FULL_LOAD_FACTOR
                     || isFull(server)
                     || excluded.get(server)
@@ -1005,7 +952,7 @@
             // A server that was just uncordoned gets one tunnel before servers of lower load, so
             // that operators see it in use.
             factor +=
-                    (units + (holdsGroup ? 0 : GROUP_COST_UNITS)) / capacity(server)
+                    (units + (holdsGroup ? 0 : GroupAffinity.GROUP_COST_UNITS)) / capacity(server)
                             + (zones[server] == settings.zone
                                     ? 0
                                     : FEE_TO_LOAD_FACTOR * settings.crossZoneFee)
@@ -1175,33 +1122,13 @@
 
     /** Returns by how much this tunnel would raise the server's load factor. */
     private double loadStep(int server, Tunnel tunnel) {
-        double groupUnits =
-                tunnel.group != null && tunnelCountsOfGroup(tunnel.group, server)[server] == 0
-                        ? GROUP_COST_UNITS
-                        : 0;
-        return (toUnits(tunnel.profileIndex, profileLoad[tunnel.profileIndex]) + groupUnits)
+        return (toUnits(tunnel.profileIndex, profileLoad[tunnel.profileIndex])
+                        + groupAffinity.addedUnits(tunnel.group, server))
                 / capacity(server);
     }
 
-    /**
-     * Returns all servers in an order that is the same at every relay for this group, so that its
-     * tunnels gather. Cached since it costs a sort.
-     */
     private int[] serverOrder(String group) {
-        return groupServerOrders.computeIfAbsent(
-                group == null ? "" : group,
-                groupName -> {
-                    long[] keys = new long[serverCount];
-                    for (int server = 0; server < serverCount; server++) {
-                        int hash =
-                                (serverNames[server].hashCode() * 31 ^ groupName.hashCode())
-                                        * 0x9E3779B1;
-                        hash = (hash ^ hash >>> 15) * 0x85EBCA6B;
-                        keys[server] = (long) (hash ^ hash >>> 13) << 32 | server;
-                    }
-                    Arrays.sort(keys);
-                    return Arrays.stream(keys).mapToInt(key -> (int) key).toArray();
-                });
+        return groupAffinity.serverOrder(group, serverNames, serverCount);
     }
 
     /** Converts a load in cores to mean loads. */
@@ -1704,7 +1631,7 @@
     public void onServerList(List<ServerEntry> entries, boolean whole) {
         boolean[] named = new boolean[serverCount + entries.size()];
         for (ServerEntry entry : entries) {
-            int server = indexByName.computeIfAbsent(entry.name(), this::addServer);
+            int server = indexOf(entry.name());
             named[server] = true;
             zones[server] = entry.zone();
             zoneCount = Math.max(zoneCount, entry.zone() + 1);
@@ -1717,27 +1644,43 @@
                             : lastDrainActivityAt[server] > 0
                                     ? lastDrainActivityAt[server]
                                     : frontend.now();
-            listed[server] = entry.state() != ServerEntry.State.GONE;
+            setListed(server, entry.state() != ServerEntry.State.GONE);
             if (entry.startedAt() > startedAt[server] + START_TIME_TOLERANCE_SECONDS) {
                 resetAfterRestart(server, entry.startedAt());
             }
         }
         for (int server = 0; whole && server < serverCount; server++) {
             running[server] &= named[server];
-            listed[server] &= named[server];
+            setListed(server, listed[server] && named[server]);
         }
         listBackoff = INITIAL_LIST_BACKOFF_SECONDS;
         updateFleetSize();
     }
 
+    private int indexOf(String serverName) {
+        Integer known = indexByName.get(serverName);
+        if (known != null) {
+            return known;
+        }
+        int server = addServer(serverName);
+        indexByName.put(serverName, server);
+        return server;
+    }
+
+    private void setListed(int server, boolean isListed) {
+        if (listed[server] && !isListed) {
+            delistedAt[server] = frontend.now();
+        }
+        listed[server] = isListed;
+    }
+
     /** Recomputes what depends on the number of servers in rotation and of relays. */
     private void updateFleetSize() {
         int serversInRotation = 0;
         for (int server = 0; server < serverCount; server++) {
             serversInRotation += isInRotation(server) ? 1 : 0;
         }
-        noHolderBaseChance =
-                Math.pow(NO_HOLDER_CHANCE_PER_RELAY, (double) settings.relayCount / zoneCount);
+        groupAffinity.updateFleet((double) settings.relayCount / zoneCount);
         initialWindow =
                 Math.max(
                         1,
@@ -1849,7 +1792,10 @@
         return cordonedServers;
     }
 
-    /** Returns true if the list named the server at some time or operators have cordoned it. */
+    /**
+     * Returns true if the list names the server, named it within the last minutes, or operators
+     * have cordoned it.
+     */
     public boolean isKnown(String serverName) {
         return indexByName.containsKey(serverName) || cordonedServers.contains(serverName);
     }
@@ -1885,58 +1831,98 @@
         nextProbeAt[server] = Math.min(nextProbeAt[server], frontend.now());
     }
 
-    /** Adds a server that was not listed before and returns its index. */
+    /**
+     * Adds a server that was not listed before and returns its index. Without the reuse of indexes
+     * a fleet whose servers are replaced under new names would grow here for ever.
+     */
     private int addServer(String serverName) {
-        if (serverCount == serverNames.length) {
-            int newLength = Math.max(8, 2 * serverCount);
-            serverNames = Arrays.copyOf(serverNames, newLength);
-            zones = Arrays.copyOf(zones, newLength);
-            models = Arrays.copyOf(models, newLength);
-            cells = Arrays.copyOf(cells, newLength);
-            failuresInRow = Arrays.copyOf(failuresInRow, newLength);
-            running = Arrays.copyOf(running, newLength);
-            listed = Arrays.copyOf(listed, newLength);
-            offline = Arrays.copyOf(offline, newLength);
-            reportedFull = Arrays.copyOf(reportedFull, newLength);
-            probePending = Arrays.copyOf(probePending, newLength);
-            relievedSinceReport = Arrays.copyOf(relievedSinceReport, newLength);
-            cordoned = Arrays.copyOf(cordoned, newLength);
-            firstTunnelDue = Arrays.copyOf(firstTunnelDue, newLength);
-            lastProbeUnanswered = Arrays.copyOf(lastProbeUnanswered, newLength);
-            tunnelWasReset = Arrays.copyOf(tunnelWasReset, newLength);
-            reportedLoad = Arrays.copyOf(reportedLoad, newLength);
-            unreportedLoad = Arrays.copyOf(unreportedLoad, newLength);
-            unreportedPlacements = Arrays.copyOf(unreportedPlacements, newLength);
-            ownUnits = Arrays.copyOf(ownUnits, newLength);
-            blindPlacements = Arrays.copyOf(blindPlacements, newLength);
-            startedAt = Arrays.copyOf(startedAt, newLength);
-            nextProbeAt = Arrays.copyOf(nextProbeAt, newLength);
-            lastReportAt = Arrays.copyOf(lastReportAt, newLength);
-            fullUntil = Arrays.copyOf(fullUntil, newLength);
-            lastFailureAt = Arrays.copyOf(lastFailureAt, newLength);
-            lastSuccessAt = Arrays.copyOf(lastSuccessAt, newLength);
-            lastDrainActivityAt = Arrays.copyOf(lastDrainActivityAt, newLength);
-            successWeight = Arrays.copyOf(successWeight, newLength);
-            failureWeight = Arrays.copyOf(failureWeight, newLength);
-            coldDither = Arrays.copyOf(coldDither, newLength);
-            timedOutLatency = Arrays.copyOf(timedOutLatency, newLength);
-        }
-        serverNames[serverCount] = serverName;
-        cordoned[serverCount] = cordonedServers.contains(serverName);
-        startedAt[serverCount] =
-                lastFailureAt[serverCount] =
-                        lastSuccessAt[serverCount] =
-                                lastReportAt[serverCount] = Double.NEGATIVE_INFINITY;
-        groupServerOrders.clear();
+        int server = forgottenServer();
+        if (server < 0) {
+            server = serverCount++;
+            extendArrays();
+            ownTunnels.add(new ArrayList<>());
+            recentPlacements.add(new ArrayDeque<>());
+        } else {
+            indexByName.remove(serverNames[server]);
+            recentPlacements.get(server).clear();
+        }
+        initializeServer(server, serverName);
+        groupAffinity.serversChanged();
+        return server;
+    }
+
+    /** Returns a server that left the list so long ago that nothing refers to it, or -1. */
+    private int forgottenServer() {
+        double now = frontend.now();
+        for (int server = 0; server < serverCount; server++) {
+            if (!listed[server]
+                    && now - delistedAt[server] > FORGET_SERVER_SECONDS
+                    && ownTunnels.get(server).isEmpty()
+                    && !probePending[server]
+                    && !cordoned[server]) {
+                return server;
+            }
+        }
+        return -1;
+    }
+
+    private void initializeServer(int server, String serverName) {
+        serverNames[server] = serverName;
+        cordoned[server] = cordonedServers.contains(serverName);
+        running[server] = listed[server] = offline[server] = reportedFull[server] = false;
+        relievedSinceReport[server] = firstTunnelDue[server] = false;
+        lastProbeUnanswered[server] = tunnelWasReset[server] = false;
+        failuresInRow[server] = 0;
+        reportedLoad[server] = unreportedLoad[server] = unreportedPlacements[server] = 0;
+        ownUnits[server] = blindPlacements[server] = fullUntil[server] = 0;
+        successWeight[server] = failureWeight[server] = coldDither[server] = 0;
+        lastDrainActivityAt[server] = timedOutLatency[server] = 0;
+        startedAt[server] = lastReportAt[server] = Double.NEGATIVE_INFINITY;
+        lastFailureAt[server] = lastSuccessAt[server] = Double.NEGATIVE_INFINITY;
+        delistedAt[server] = frontend.now();
         // Spreads the first probes of a large fleet; the servers that the first tunnels need are
         // probed for them.
         double spread =
-                Math.max(
-                        MIN_PROBE_INTERVAL_SECONDS,
-                        serverCount * settings.probeFee / PROBE_COST_SHARE);
-        nextProbeAt[serverCount] = frontend.now() + spread * random.nextDouble();
-        ownTunnels.add(new ArrayList<>());
-        recentPlacements.add(new ArrayDeque<>());
-        return serverCount++;
+                Math.max(MIN_PROBE_INTERVAL_SECONDS, server * settings.probeFee / PROBE_COST_SHARE);
+        nextProbeAt[server] = frontend.now() + spread * random.nextDouble();
+    }
+
+    private void extendArrays() {
+        if (serverCount <= serverNames.length) {
+            return;
+        }
+        int newLength = Math.max(8, 2 * (serverCount - 1));
+        serverNames = Arrays.copyOf(serverNames, newLength);
+        zones = Arrays.copyOf(zones, newLength);
+        models = Arrays.copyOf(models, newLength);
+        cells = Arrays.copyOf(cells, newLength);
+        failuresInRow = Arrays.copyOf(failuresInRow, newLength);
+        running = Arrays.copyOf(running, newLength);
+        listed = Arrays.copyOf(listed, newLength);
+        offline = Arrays.copyOf(offline, newLength);
+        reportedFull = Arrays.copyOf(reportedFull, newLength);
+        probePending = Arrays.copyOf(probePending, newLength);
+        relievedSinceReport = Arrays.copyOf(relievedSinceReport, newLength);
+        cordoned = Arrays.copyOf(cordoned, newLength);
+        firstTunnelDue = Arrays.copyOf(firstTunnelDue, newLength);
+        lastProbeUnanswered = Arrays.copyOf(lastProbeUnanswered, newLength);
+        tunnelWasReset = Arrays.copyOf(tunnelWasReset, newLength);
+        reportedLoad = Arrays.copyOf(reportedLoad, newLength);
+        unreportedLoad = Arrays.copyOf(unreportedLoad, newLength);
+        unreportedPlacements = Arrays.copyOf(unreportedPlacements, newLength);
+        ownUnits = Arrays.copyOf(ownUnits, newLength);
+        blindPlacements = Arrays.copyOf(blindPlacements, newLength);
+        startedAt = Arrays.copyOf(startedAt, newLength);
+        nextProbeAt = Arrays.copyOf(nextProbeAt, newLength);
+        lastReportAt = Arrays.copyOf(lastReportAt, newLength);
+        fullUntil = Arrays.copyOf(fullUntil, newLength);
+        lastFailureAt = Arrays.copyOf(lastFailureAt, newLength);
+        lastSuccessAt = Arrays.copyOf(lastSuccessAt, newLength);
+        lastDrainActivityAt = Arrays.copyOf(lastDrainActivityAt, newLength);
+        successWeight = Arrays.copyOf(successWeight, newLength);
+        failureWeight = Arrays.copyOf(failureWeight, newLength);
+        coldDither = Arrays.copyOf(coldDither, newLength);
+        timedOutLatency = Arrays.copyOf(timedOutLatency, newLength);
+        delistedAt = Arrays.copyOf(delistedAt, newLength);
     }
 }
--- a/core/src/main/java/asterpulley/RetryLimiter.java
+++ b/core/src/main/java/asterpulley/RetryLimiter.java
@@ -24,18 +24,16 @@
     /** Records a tunnel that was accepted now; it raises the budget of the window. */
     void recordTunnel(double now) {
         if (settings.retryBudgetWindow > 0) {
+            removeExpired(now);
             tunnelTimes.add(now);
         }
     }
 
-    /** Returns how many retries may be sent now; infinite if no budget is configured. */
-    double remaining(double now) {
-        if (!(settings.retryBudgetWindow > 0)) {
-            return Double.POSITIVE_INFINITY;
-        }
-        // Whoever checks the budget from outside may see a setup a tick earlier or later than this
-        // relay. The window is therefore stricter: tunnels leave it early and retries leave it
-        // late.
+    /**
+     * Whoever checks the budget from outside may see a setup a tick earlier or later than this
+     * relay. The window is therefore stricter: tunnels leave it early and retries leave it late.
+     */
+    private void removeExpired(double now) {
         double windowStart = now - settings.retryBudgetWindow, slack = 2 * settings.tick;
         while (!tunnelTimes.isEmpty() && tunnelTimes.peek() <= windowStart + slack) {
             tunnelTimes.poll();
@@ -43,6 +41,19 @@
         while (!retryTimes.isEmpty() && retryTimes.peek() < windowStart - slack) {
             retryTimes.poll();
         }
+    }
+
+    /** Returns the number of tunnels and retries that are remembered. */
+    int rememberedTimes() {
+        return tunnelTimes.size() + retryTimes.size();
+    }
+
+    /** Returns how many retries may be sent now; infinite if no budget is configured. */
+    double remaining(double now) {
+        if (!(settings.retryBudgetWindow > 0)) {
+            return Double.POSITIVE_INFINITY;
+        }
+        removeExpired(now);
         return Math.floor(
                         settings.retryBudgetMinimum
                                 + settings.retryBudgetRatio * tunnelTimes.size()
--- a/core/src/test/java/asterpulley/RetryLimiterTest.java
+++ b/core/src/test/java/asterpulley/RetryLimiterTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 
 /** Compares {@link RetryLimiter} with a count over the whole history at each retry. */
 class RetryLimiterTest {
@@ -102,6 +103,21 @@
         }
     }
 
+    /** Guards against a heap that grows with every tunnel while no retry is asked for. */
+    @Test
+    void forgetsTunnelsWithoutRetries() {
+        Settings settings = settingsWithBudget(1 + 8 * 4);
+        RetryLimiter retryLimiter = new RetryLimiter(settings);
+        double tunnelsPerSecond = 1000;
+        for (int i = 0; i < 100_000; i++) {
+            retryLimiter.recordTunnel(i / tunnelsPerSecond);
+            assertTrue(
+                    retryLimiter.rememberedTimes()
+                            <= settings.retryBudgetWindow * tunnelsPerSecond + 1,
+                    retryLimiter.rememberedTimes() + " times");
+        }
+    }
+
     /** Returns settings without a retry budget, or with one of several. */
     private static Settings settingsWithBudget(int budgetCode) {
         Settings settings = new Settings();
--- a/relay/src/main/java/asterpulley/line/ClientRequestFilter.java
+++ b/relay/src/main/java/asterpulley/line/ClientRequestFilter.java
@@ -96,6 +96,8 @@
             peer.linger();
             return ctx.getStopAction();
         }
+        // Forwarding reads a client's lines only as bytes.
+        peer.decoderState = null;
         registry.count("taken");
         ctx.setMessage(new TunnelContext(peer, request, protocol, eventLoop.now()));
         return ctx.getInvokeAction();
--- a/relay/src/main/java/asterpulley/line/ForwardingFilter.java
+++ b/relay/src/main/java/asterpulley/line/ForwardingFilter.java
@@ -182,10 +182,17 @@
             }
             tunnel.lastActivityAt = eventLoop.now();
             otherPeer.shutdownOutput();
-            eventLoop.schedule(HALF_CLOSED_TIMEOUT_SECONDS, () -> checkHalfClosed(tunnel));
+            scheduleHalfClosedCheck(tunnel, HALF_CLOSED_TIMEOUT_SECONDS);
         }
     }
 
+    private void scheduleHalfClosedCheck(TunnelContext tunnel, double delaySeconds) {
+        if (tunnel.halfClosedTimer != null) {
+            tunnel.halfClosedTimer.cancel();
+        }
+        tunnel.halfClosedTimer = eventLoop.schedule(delaySeconds, () -> checkHalfClosed(tunnel));
+    }
+
     /**
      * Guards against a side that never ends because its machine, client or backend, fell silent.
      */
@@ -199,8 +206,7 @@
                         Math.max(tunnel.client.lastWriteAt, tunnel.backend.lastWriteAt));
         double idleSeconds = eventLoop.now() - lastTransferAt;
         if (idleSeconds < HALF_CLOSED_TIMEOUT_SECONDS) {
-            eventLoop.schedule(
-                    HALF_CLOSED_TIMEOUT_SECONDS - idleSeconds, () -> checkHalfClosed(tunnel));
+            scheduleHalfClosedCheck(tunnel, HALF_CLOSED_TIMEOUT_SECONDS - idleSeconds);
             return;
         }
         finish(tunnel, Termination.Cause.CLIENT_LEFT);
--- a/relay/src/main/java/asterpulley/list/DiscoveryWatcher.java
+++ b/relay/src/main/java/asterpulley/list/DiscoveryWatcher.java
@@ -13,7 +13,9 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /**
@@ -287,6 +289,11 @@
     }
 
     private void updateDialAddresses(ServerList list) {
+        if (list.whole()) {
+            Set<String> listed =
+                    list.servers().stream().map(ServerEntry::name).collect(Collectors.toSet());
+            dialAddresses.keySet().retainAll(listed);
+        }
         dialAddresses.putAll(list.dialAddresses());
         for (ServerEntry server : list.servers()) {
             if (server.state() == ServerEntry.State.GONE) {
--- a/relay/src/main/java/asterpulley/net/EventLoop.java
+++ b/relay/src/main/java/asterpulley/net/EventLoop.java
@@ -21,8 +21,8 @@
 public final class EventLoop extends DefaultSelectorHandler {
     private static final Logger LOG = Logger.getLogger("asterpulley.net.Loop");
 
-    /** A scheduled task; a cancelled one is skipped when it is due. */
-    public static final class Timer implements Comparable<Timer> {
+    /** A scheduled task; a cancelled one is skipped when it is due, or forgotten before. */
+    public final class Timer implements Comparable<Timer> {
         private final double dueAt;
         private final long sequence;
         private Runnable task;
@@ -34,7 +34,18 @@
         }
 
         public void cancel() {
+            if (task != null) {
+                task = null;
+                cancelledTimers++;
+                forgetCancelledTimers();
+            }
+        }
+
+        /** Returns the task, which is done now and can no longer be cancelled. */
+        private Runnable take() {
+            Runnable taken = task;
             task = null;
+            return taken;
         }
 
         @Override
@@ -47,12 +58,16 @@
 
     private static final double MAX_SELECT_SECONDS = 30;
 
+    /** Fewer cancelled timers than this are left until they are due. */
+    private static final int MIN_CANCELLED_TIMERS_TO_FORGET = 256;
+
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final double wallAtStart = System.currentTimeMillis() / 1e3;
     private final long nanosAtStart = System.nanoTime();
     private final Queue<Runnable> submitted = new ConcurrentLinkedQueue<>();
     private volatile Selector selector;
     private long nextSequence;
+    private int cancelledTimers;
 
     /** When the last select returned, and the number of selects so far. */
     private double lastSelectAt;
@@ -95,7 +110,7 @@
     public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
         selector = runner.getSelector();
         while (!timers.isEmpty() && timers.peek().task == null) {
-            timers.poll();
+            pollCancelled();
         }
         double wait = timers.isEmpty() ? MAX_SELECT_SECONDS : timers.peek().dueAt - now();
         if (wait <= 0 || !submitted.isEmpty() || !runner.getPostponedTasks().isEmpty()) {
@@ -116,13 +131,36 @@
         // Input that arrived before a timer was due is read before the timer runs, however long
         // this process was suspended.
         while (!timers.isEmpty() && timers.peek().dueAt <= lastSelectAt) {
-            Timer timer = timers.poll();
-            if (timer.task != null) {
-                run(timer.task);
+            if (timers.peek().task == null) {
+                pollCancelled();
+            } else {
+                run(timers.poll().take());
             }
         }
     }
 
+    private void pollCancelled() {
+        timers.poll();
+        cancelledTimers--;
+    }
+
+    /**
+     * Removes cancelled timers once they are most of all: how long they would stay follows from
+     * what clients ask for.
+     */
+    private void forgetCancelledTimers() {
+        if (cancelledTimers >= MIN_CANCELLED_TIMERS_TO_FORGET
+                && cancelledTimers > timers.size() / 2) {
+            timers.removeIf(timer -> timer.task == null);
+            cancelledTimers = 0;
+        }
+    }
+
+    /** Returns the number of timers that are kept, including cancelled ones. */
+    int timerCount() {
+        return timers.size();
+    }
+
     private static void run(Runnable task) {
         try {
             task.run();
--- a/relay/src/main/java/asterpulley/net/PeerConnection.java
+++ b/relay/src/main/java/asterpulley/net/PeerConnection.java
@@ -335,6 +335,9 @@
             registry.sockets--;
             registry.lingering -= lingering ? 1 : 0;
             connection.terminateSilently();
+            if (tunnel != null) {
+                tunnel.connectionClosed();
+            }
         }
     }
 
--- a/relay/src/main/java/asterpulley/net/TunnelContext.java
+++ b/relay/src/main/java/asterpulley/net/TunnelContext.java
@@ -30,6 +30,9 @@
     public double setupStartedAt;
     public EventLoop.Timer setupTimer, clientTimer;
 
+    /** Looks after a tunnel that has one side left; null if none is scheduled. */
+    public EventLoop.Timer halfClosedTimer;
+
     /**
      * Whether the client has its final answer, whether the tunnel has opened at a backend, and
      * whether nothing more can happen to it.
@@ -76,6 +79,20 @@
         return side == client ? backend : client;
     }
 
+    /**
+     * One of the connections was closed. A timer that is still to come would keep the tunnel in
+     * memory until then.
+     */
+    void connectionClosed() {
+        if (halfClosedTimer != null && isClosed(client) && isClosed(backend)) {
+            halfClosedTimer.cancel();
+        }
+    }
+
+    private static boolean isClosed(PeerConnection side) {
+        return side == null || side.isClosed();
+    }
+
     public Termination termination(Termination.Cause cause) {
         return new Termination(progress, cause);
     }
--- a/relay/src/test/java/asterpulley/serve/RelayFixture.java
+++ b/relay/src/test/java/asterpulley/serve/RelayFixture.java
@@ -31,6 +31,8 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -505,6 +507,45 @@
         return builder.redirectErrorStream(true).redirectOutput(log.toFile());
     }
 
+    /** A relay in a process of its own, with a heap as small as operators may give it. */
+    final class SmallHeapRelay {
+        private static final Pattern SERVING_LINE =
+                Pattern.compile("serving n1 at 127\\.0\\.0\\.1:(\\d+)");
+
+        final Process process;
+        final InetSocketAddress address;
+        private final Path log = folder.resolve("log");
+
+        /**
+         * Starts it with the configuration that was written last, and waits until it serves.
+         *
+         * @param options further options of its JVM
+         */
+        SmallHeapRelay(int heapMb, String... options) throws Exception {
+            ProcessBuilder builder = relayProcessBuilder(folder.resolve("config.json"), log);
+            builder.command()
+                    .replaceAll(word -> word.startsWith("-Xmx") ? "-Xmx" + heapMb + "m" : word);
+            builder.command().add(1, "-XX:+ExitOnOutOfMemoryError");
+            builder.command().addAll(1, List.of(options));
+            discovery.publish(41);
+            process = builder.start();
+            resources.add(process::destroyForcibly);
+            Matcher serving = SERVING_LINE.matcher(log());
+            while (!serving.find()) {
+                assertTrue(process.isAlive(), log());
+                Thread.sleep(5);
+                serving = SERVING_LINE.matcher(log());
+            }
+            address =
+                    new InetSocketAddress(
+                            InetAddress.getByName("127.0.0.1"), Integer.parseInt(serving.group(1)));
+        }
+
+        String log() throws IOException {
+            return Files.readString(log);
+        }
+    }
+
     TestConnection connect() throws IOException {
         TestConnection connection =
                 new TestConnection(
--- a/relay/src/test/java/asterpulley/serve/SlowReaderMemoryTest.java
+++ b/relay/src/test/java/asterpulley/serve/SlowReaderMemoryTest.java
@@ -4,15 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -27,7 +23,6 @@
 
     private static final int CLIENTS = 280, BACKENDS = 12;
     private static final byte[] LINE = ("x".repeat(3900) + "\r\n").getBytes();
-    private static final Pattern ADDRESS = Pattern.compile("serving n1 at 127\\.0\\.0\\.1:(\\d+)");
 
     private final AtomicLong bytesSent = new AtomicLong();
     private Process process;
@@ -43,26 +38,9 @@
                         1000,
                         entries);
         assertEquals(MEMORY_MB << 20, (int) config.memoryBytes);
-        Path log = folder.resolve("log");
-        ProcessBuilder builder = relayProcessBuilder(folder.resolve("config.json"), log);
-        builder.command().replaceAll(word -> word.startsWith("-Xmx") ? heapOption() : word);
-        builder.command().add(1, "-XX:+ExitOnOutOfMemoryError");
-        discovery.publish(41);
-        process = builder.start();
-        resources.add(process::destroyForcibly);
-        Matcher address = ADDRESS.matcher(Files.readString(log));
-        while (!address.find()) {
-            assertTrue(process.isAlive(), Files.readString(log));
-            Thread.sleep(5);
-            address = ADDRESS.matcher(Files.readString(log));
-        }
-        relayAddress =
-                new InetSocketAddress(
-                        InetAddress.getByName("127.0.0.1"), Integer.parseInt(address.group(1)));
-    }
-
-    private static String heapOption() {
-        return "-Xmx" + HEAP_MB + "m";
+        SmallHeapRelay smallRelay = new SmallHeapRelay(HEAP_MB);
+        process = smallRelay.process;
+        relayAddress = smallRelay.address;
     }
 
     private void stream(TestConnection backendConnection) {
--- a/routes/src/main/java/asterpulley/routes/PoolRouter.java
+++ b/routes/src/main/java/asterpulley/routes/PoolRouter.java
@@ -210,10 +210,13 @@
                     Arrays.copyOf(indexByBalancerIndex, Math.max(balancerIndex + 1, 2 * oldLength));
             Arrays.fill(indexByBalancerIndex, oldLength, indexByBalancerIndex.length, -1);
         }
-        if (indexByBalancerIndex[balancerIndex] < 0) {
-            indexByBalancerIndex[balancerIndex] = indexByName.getOrDefault(server, -1);
+        int serverIndex = indexByBalancerIndex[balancerIndex];
+        if (serverIndex < 0 || !serverNames.get(serverIndex).equals(server)) {
+            // Not looked up yet, or the load balancer uses the index of a server that is gone.
+            serverIndex = indexByName.getOrDefault(server, -1);
+            indexByBalancerIndex[balancerIndex] = serverIndex;
         }
-        return verdict(id, indexByBalancerIndex[balancerIndex], now) == RouteVerdict.OPEN;
+        return verdict(id, serverIndex, now) == RouteVerdict.OPEN;
     }
 
     /** Whether this tunnel may use that server now and, if not, why. */
