Return a line that is too long as such, so that no reader takes a part for the whole

Cause: LineAssembler.nextLine returned what it had kept of a line that is too long as a whole line; that it was cut stood in a flag that SetupFilter asked for only while the line was incomplete.

Fix: nextLine returns a ReceivedLine, whose text cannot be had where it is too long. A setup's answer that is too long, without CRLF or without a receipt is an error. On related paths: probes whose answer is too long fail, forwarded lines that are too long are not interpreted, figures that are not finite or below 0 are left out, and an answer of discovery or settings may be an eighth of the heap.

Evidence, SpoiltAnswerTest on the code before: six of seven failed, among them "4097 bytes ==> expected: <ERR> but was: <UP rrr...", a relay that placed nothing any more after "x0=Infinity" (timed out), and "Terminating due to java.lang.OutOfMemoryError" at an endless list.

--- a/relay/src/main/java/asterpulley/line/ClientRequestFilter.java
+++ b/relay/src/main/java/asterpulley/line/ClientRequestFilter.java
@@ -68,21 +68,20 @@
             peer.close();
             return ctx.getStopAction();
         }
-        String line = LineAssembler.of(peer).nextLine(in);
+        ReceivedLine received = LineAssembler.of(peer).nextLine(in);
         // A client sends nothing after its line until it has the answer. If more bytes follow, the
         // line is refused as malformed and the rest is discarded.
         boolean malformed =
-                LineAssembler.of(peer).isTooLong()
-                        || line != null
-                                && (LineAssembler.of(peer).endedWithBareLineFeed()
-                                        || in.hasRemaining());
+                LineAssembler.of(peer).isLineTooLong()
+                        || received != null && (!received.isWellFormed() || in.hasRemaining());
         in.tryDispose();
         peer.lastRequestAt = eventLoop.now();
-        peer.awaitingRequest = line == null && !malformed;
+        peer.awaitingRequest = received == null && !malformed;
         if (peer.awaitingRequest) {
             return ctx.getStopAction();
         }
-        if (!malformed && line.equals(LineCodec.PING)) {
+        String line = malformed ? null : received.text();
+        if (LineCodec.PING.equals(line)) {
             registry.count("pings");
             peer.send(
                     LineCodec.encode(
--- a/relay/src/main/java/asterpulley/line/LineAssembler.java
+++ b/relay/src/main/java/asterpulley/line/LineAssembler.java
@@ -13,7 +13,7 @@
 
     private byte[] bytes = new byte[INITIAL_BYTES];
     private int size;
-    private boolean tooLong, lineTooLong, bareLineFeed;
+    private boolean lineTooLong;
 
     /** The assembler of this connection, created on first use. */
     public static LineAssembler of(PeerConnection peer) {
@@ -24,23 +24,17 @@
     }
 
     /**
-     * The next complete line, without its line end; null if it is still incomplete. What follows
-     * the line stays in the buffer.
+     * The next complete line; null if it is still incomplete. What follows the line stays in the
+     * buffer.
      */
-    public String nextLine(Buffer in) {
+    ReceivedLine nextLine(Buffer in) {
         while (in.hasRemaining()) {
             byte b = in.get();
             if (b == '\n') {
-                bareLineFeed = size == 0 || bytes[size - 1] != '\r';
-                int end = bareLineFeed ? size : size - 1;
-                String line = new String(bytes, 0, end, LineCodec.CHARSET);
-                size = 0;
-                lineTooLong = false;
-                return line;
+                return completeLine();
             }
             if (size == bytes.length) {
                 if (size >= LineCodec.MAX_LINE_BYTES - 1) {
-                    tooLong = true;
                     lineTooLong = true;
                     continue;
                 }
@@ -51,9 +45,17 @@
         return null;
     }
 
-    /** True once a line was longer than allowed. */
-    public boolean isTooLong() {
-        return tooLong;
+    private ReceivedLine completeLine() {
+        boolean bareLineFeed = size == 0 || bytes[size - 1] != '\r';
+        int end = bareLineFeed ? size : size - 1;
+        ReceivedLine line =
+                lineTooLong
+                        ? ReceivedLine.tooLong()
+                        : ReceivedLine.of(
+                                new String(bytes, 0, end, LineCodec.CHARSET), bareLineFeed);
+        size = 0;
+        lineTooLong = false;
+        return line;
     }
 
     /** True if the line now being received is longer than allowed; not all of it is kept. */
@@ -66,11 +68,6 @@
         return Arrays.copyOf(bytes, size);
     }
 
-    /** True if the last line ended without a carriage return. */
-    public boolean endedWithBareLineFeed() {
-        return bareLineFeed;
-    }
-
     /** True if no line has been received in part. */
     public boolean isBetweenLines() {
         return size == 0;
--- a/relay/src/main/java/asterpulley/line/LineCodec.java
+++ b/relay/src/main/java/asterpulley/line/LineCodec.java
@@ -35,6 +35,9 @@
     /** The value by which a client marks its retry. */
     private static final String CLIENT_RETRY_MARK = "1";
 
+    /** Precedes the receipt of a backend that has opened a tunnel. */
+    private static final String OPENED = "UP ";
+
     private static final double MICROCORES_PER_CORE = 1e6;
 
     private static final Pattern HEX_ID = Pattern.compile("[0-9a-fA-F]{1,32}");
@@ -42,6 +45,9 @@
     /** No blanks and no control characters. */
     private static final Pattern PRINTABLE = Pattern.compile("[!-~\\x80-\\xff]+");
 
+    /** A larger figure is not one that a backend measured; sums of these stay exact enough. */
+    private static final double MAX_FIGURE = 1e12;
+
     private static final Pattern MILLISECONDS = Pattern.compile("[1-9][0-9]{0,9}");
 
     /**
@@ -164,7 +170,7 @@
 
     /** Whether a backend's line says that the tunnel is open. */
     public static boolean isOpened(String line) {
-        return line.startsWith("UP ");
+        return line.startsWith(OPENED) && line.length() > OPENED.length();
     }
 
     /** How a backend's line says that the tunnel ends; null if it does not. */
@@ -185,12 +191,25 @@
             return Double.NaN;
         }
         try {
-            return Double.parseDouble(line.substring(5).trim()) / MICROCORES_PER_CORE;
+            return parseFigure(line.substring(5).trim()) / MICROCORES_PER_CORE;
         } catch (NumberFormatException e) {
             return Double.NaN;
         }
     }
 
+    /**
+     * A figure of a backend: one that is not finite would spoil every sum that it enters.
+     *
+     * @throws NumberFormatException if it is no number, not finite or below 0
+     */
+    private static double parseFigure(String text) {
+        double figure = Double.parseDouble(text);
+        if (!(figure >= 0 && figure <= MAX_FIGURE)) {
+            throw new NumberFormatException(text);
+        }
+        return figure;
+    }
+
     /** What the answer to a probe says of the backend. */
     public static Outcome probeOutcome(String line) {
         return line.startsWith(PONG)
@@ -208,7 +227,7 @@
             try {
                 figures.put(
                         reportKey(pair.substring(0, Math.max(0, equals))),
-                        Double.valueOf(pair.substring(equals + 1)));
+                        parseFigure(pair.substring(equals + 1)));
             } catch (NumberFormatException e) {
                 // A value that is no number is left out; the others count.
                 continue;
--- a/relay/src/main/java/asterpulley/line/ProbeFilter.java
+++ b/relay/src/main/java/asterpulley/line/ProbeFilter.java
@@ -205,22 +205,24 @@
             connectionBroken(peer, probe);
             return ctx.getStopAction();
         }
-        for (String answer = LineAssembler.of(peer).nextLine(in);
+        for (ReceivedLine answer = LineAssembler.of(peer).nextLine(in);
                 answer != null;
                 answer = LineAssembler.of(peer).nextLine(in)) {
             if (probe.awaitingAnswer) {
-                finishProbe(probe);
-                registry.count("probes_answered");
-                loadBalancerFilter.probeFinished(
-                        probe.serverName,
-                        LineCodec.probeOutcome(answer),
-                        LineCodec.parseReport(answer));
+                probeAnswered(probe, answer.textOr(LineCodec.ERR));
             }
         }
         in.tryDispose();
         return ctx.getStopAction();
     }
 
+    private void probeAnswered(BackendProbe probe, String answer) {
+        finishProbe(probe);
+        registry.count("probes_answered");
+        loadBalancerFilter.probeFinished(
+                probe.serverName, LineCodec.probeOutcome(answer), LineCodec.parseReport(answer));
+    }
+
     @Override
     public NextAction handleClose(FilterChainContext ctx) {
         PeerConnection peer = PeerConnection.of(ctx.getConnection());
--- a/relay/src/main/java/asterpulley/line/SetupFilter.java
+++ b/relay/src/main/java/asterpulley/line/SetupFilter.java
@@ -148,17 +148,19 @@
             setupFailed(tunnel, tunnel.setupCount, Termination.Cause.BROKEN);
             return ctx.getStopAction();
         }
-        String line = LineAssembler.of(peer).nextLine(in);
-        while (line != null && !Double.isNaN(LineCodec.parseLoad(line))) {
-            line = LineAssembler.of(peer).nextLine(in);
+        LineAssembler assembler = LineAssembler.of(peer);
+        ReceivedLine received = nextAnswer(assembler, in);
+        if (received == null && !assembler.isLineTooLong()) {
+            in.tryDispose();
+            return ctx.getStopAction();
         }
-        if (line == null) {
+        if (received == null || !received.isWellFormed()) {
+            registry.count("setup_answers_malformed");
             in.tryDispose();
-            if (LineAssembler.of(peer).isTooLong()) {
-                setupFailed(tunnel, tunnel.setupCount, Termination.Cause.ERR);
-            }
+            setupFailed(tunnel, tunnel.setupCount, Termination.Cause.ERR);
             return ctx.getStopAction();
         }
+        String line = received.text();
         if (!LineCodec.isOpened(line)) {
             in.tryDispose();
             Termination.Cause cause = LineCodec.endCause(line);
@@ -191,6 +193,17 @@
         return ctx.getStopAction();
     }
 
+    /** Returns the first line that is not a report of load; null if it is still incomplete. */
+    private static ReceivedLine nextAnswer(LineAssembler assembler, Buffer in) {
+        ReceivedLine line = assembler.nextLine(in);
+        while (line != null
+                && line.isWellFormed()
+                && !Double.isNaN(LineCodec.parseLoad(line.text()))) {
+            line = assembler.nextLine(in);
+        }
+        return line;
+    }
+
     @Override
     public NextAction handleClose(FilterChainContext ctx) {
         TunnelContext tunnel = PeerConnection.of(ctx.getConnection()).tunnel;
--- a/relay/src/main/java/asterpulley/line/WholeLines.java
+++ b/relay/src/main/java/asterpulley/line/WholeLines.java
@@ -14,11 +14,14 @@
 final class WholeLines {
     private static final byte[] NONE = {};
 
+    /** What the listener is told of a line that is too long to be read. */
+    private static final String UNKNOWN_TEXT = "";
+
     private WholeLines() {}
 
     /**
      * Reads these bytes, which become unusable, and passes each line that they complete to the
-     * listener.
+     * listener; of one that is too long an empty text.
      *
      * @return the bytes to send on, which end with a line unless that line is too long; null if
      *     there are none yet
@@ -31,11 +34,11 @@
         byte[] heldBack = heldBack(assembler);
         int start = bytes.position();
         int end = start;
-        for (String line = assembler.nextLine(bytes);
+        for (ReceivedLine line = assembler.nextLine(bytes);
                 line != null;
                 line = assembler.nextLine(bytes)) {
             end = bytes.position();
-            lineListener.accept(line);
+            lineListener.accept(line.textOr(UNKNOWN_TEXT));
         }
         if (assembler.isLineTooLong()) {
             end = bytes.limit();
--- a/relay/src/main/java/asterpulley/net/LongPollClient.java
+++ b/relay/src/main/java/asterpulley/net/LongPollClient.java
@@ -48,6 +48,11 @@
     /** Stands for no version known yet: everything is requested, without waiting. */
     public static final long NO_VERSION = -1;
 
+    /** Bounds of {@link #MAX_BODY_BYTES}, and the part of the heap that it is between them. */
+    private static final long MIN_BODY_LIMIT_BYTES = 1 << 20,
+            MAX_BODY_LIMIT_BYTES = 64 << 20,
+            HEAP_SHARES_PER_BODY = 8;
+
     /** An attempt to connect that takes longer is given up. */
     private static final double CONNECT_TIMEOUT_SECONDS = 1.5;
 
@@ -57,6 +62,18 @@
      */
     private static final double IDLE_CLOSE_RACE_SECONDS = 0.2;
 
+    /**
+     * A longer body is given up: one that never ends would fill the heap. The share of the heap
+     * leaves room for what is made of the body.
+     */
+    static final int MAX_BODY_BYTES =
+            (int)
+                    Math.min(
+                            MAX_BODY_LIMIT_BYTES,
+                            Math.max(
+                                    MIN_BODY_LIMIT_BYTES,
+                                    Runtime.getRuntime().maxMemory() / HEAP_SHARES_PER_BODY));
+
     private final String path;
     private final Callback callback;
     private final EventLoop eventLoop;
@@ -201,6 +218,13 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         HttpContent content = ctx.getMessage();
+        if (content.getContent().remaining() > MAX_BODY_BYTES) {
+            content.recycle();
+            if (ctx.getConnection() == connection) {
+                fail(currentRequest, "answer of over " + MAX_BODY_BYTES + " bytes", false);
+            }
+            return ctx.getStopAction();
+        }
         if (!content.isLast()) {
             return ctx.getStopAction(content);
         }
