Log that a signal has no effect where it was ignored when the relay was started

RelayInstance now looks at what Signal.handle returns and logs a warning. Test: GracefulShutdownTest.logsThatAnIgnoredSignalHasNoEffect starts a relay by sh with SIGHUP ignored; the line did not exist before.

--- a/relay/src/main/java/asterpulley/serve/RelayInstance.java
+++ b/relay/src/main/java/asterpulley/serve/RelayInstance.java
@@ -32,6 +32,7 @@
 import org.glassfish.grizzly.memory.PooledMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * One running relay: reads the configuration, builds the filter chains, listens, and shuts down
@@ -442,12 +443,10 @@
         FILTER_CHAIN_LOG.setLevel(Level.SEVERE);
         // Signals that arrive before the relay exists are handled as soon as it does.
         CompletableFuture<RelayInstance> instance = new CompletableFuture<>();
-        Signal.handle(
-                new Signal("TERM"), signal -> instance.thenAccept(RelayInstance::beginShutdown));
-        Signal.handle(
-                new Signal("HUP"), signal -> instance.thenAccept(relay -> relay.reload(source)));
-        Signal.handle(
-                new Signal("USR1"),
+        handleSignal("TERM", signal -> instance.thenAccept(RelayInstance::beginShutdown));
+        handleSignal("HUP", signal -> instance.thenAccept(relay -> relay.reload(source)));
+        handleSignal(
+                "USR1",
                 signal -> instance.thenAccept(relay -> relay.readCounters(relay::logState)));
         Config config;
         try {
@@ -484,6 +483,16 @@
         }
     }
 
+    /** The JVM leaves a signal ignored that was ignored when it started, as under nohup. */
+    private static void handleSignal(String name, SignalHandler handler) {
+        if (Signal.handle(new Signal(name), handler) == SignalHandler.SIG_IGN) {
+            LOG.warning(
+                    "SIG"
+                            + name
+                            + " has no effect: it was ignored when this process was started, as by nohup");
+        }
+    }
+
     InetSocketAddress address() {
         return listener.address();
     }
--- a/relay/src/test/java/asterpulley/serve/GracefulShutdownTest.java
+++ b/relay/src/test/java/asterpulley/serve/GracefulShutdownTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -172,4 +173,21 @@
         assertTrue(process.waitFor(6, TimeUnit.SECONDS));
         assertEquals(0, process.exitValue(), Files.readString(log));
     }
+
+    /** Guards against a relay that silently can't be reloaded, since nohup started it. */
+    @Test
+    void logsThatAnIgnoredSignalHasNoEffect() throws Exception {
+        Backend backend = new Backend();
+        createConfig(1000, backend.listEntry("s1", "up"));
+        Path log = folder.resolve("log");
+        ProcessBuilder builder = relayProcessBuilder(folder.resolve("config.json"), log);
+        builder.command().addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        Process process = builder.start();
+        resources.add(process::destroyForcibly);
+        while (!Files.readString(log).contains("SIGHUP has no effect")) {
+            assertTrue(process.isAlive(), Files.readString(log));
+            Thread.sleep(10);
+        }
+        assertFalse(Files.readString(log).contains("SIGTERM has no effect"));
+    }
 }
