Move all tunnels of a draining server within half a second, not at the pace of arrivals

Cause: LoadBalancer.relieveServer waits 2 s for a server that sends its clients away itself, and then moved them by the tokens of all moves, which grow with the rate of new tunnels, and only into room elsewhere.

Fix: after the wait, all tunnels that are left are moved within 0.5 s, evenly, without tokens and whatever the room; they would be cut off otherwise and come again anyway.

--- a/core/src/main/java/asterpulley/LoadBalancer.java
+++ b/core/src/main/java/asterpulley/LoadBalancer.java
@@ -61,6 +61,12 @@
      */
     private static final double DRAIN_WAIT_SECONDS = 2;
 
+    /**
+     * After that wait, the tunnels of a draining server are all moved within this time: nobody
+     * tells when the server stops.
+     */
+    private static final double DRAIN_MOVES_SECONDS = 0.5;
+
     /**
      * Share of the service's result that regular probes may cost, and the bounds of the interval
      * that follows from it for servers in use. The upper bound grows with the probe fee; see {@link
@@ -1375,18 +1381,17 @@
     }
 
     /**
-     * Moves tunnels away from a server that is offline, cordoned, draining or overloaded, as fast
-     * as other servers have room.
+     * Moves tunnels away from a server that is offline, cordoned or overloaded, as fast as other
+     * servers have room, and from a draining one before it stops.
      */
     private void relieveServer(int server) {
         double now = frontend.now(), factor = loadFactor(server);
-        // Tunnels that are still open when a draining server stops are cut off, so they are moved
-        // before.
-        boolean evacuate =
-                offline[server]
-                        || cordoned[server]
-                        || lastDrainActivityAt[server] > 0
-                                && now - lastDrainActivityAt[server] > DRAIN_WAIT_SECONDS;
+        if (lastDrainActivityAt[server] > 0
+                && now - lastDrainActivityAt[server] > DRAIN_WAIT_SECONDS) {
+            moveFromDrainingServer(server, now);
+            return;
+        }
+        boolean evacuate = offline[server] || cordoned[server];
         double unitsToMove =
                 evacuate
                         ? ownUnits[server]
@@ -1439,6 +1444,22 @@
         relievedSinceReport[server] = !evacuate;
     }
 
+    /**
+     * Moves the tunnels of a draining server evenly over the time for it, whatever room the others
+     * have: those that are still open when the server stops are cut off, and come again anyway.
+     */
+    private void moveFromDrainingServer(int server, double now) {
+        List<Tunnel> remaining = new ArrayList<>(ownTunnels.get(server));
+        remaining.removeIf(tunnel -> tunnel.moving);
+        double endsAt = lastDrainActivityAt[server] + DRAIN_WAIT_SECONDS + DRAIN_MOVES_SECONDS;
+        double ticksLeft = Math.max(1, (endsAt - now) / TICK_SECONDS);
+        int due = (int) Math.ceil(remaining.size() / ticksLeft);
+        for (Tunnel tunnel : remaining.subList(0, due)) {
+            tunnel.moving = true;
+            frontend.move(tunnel);
+        }
+    }
+
     /** Returns the credit at stake when this tunnel is moved; never 0. */
     private double moveCost(Tunnel tunnel) {
         return tunnel.profile.credit * (isOverShare(tunnel) ? settings.excessCredit : 1) + 1e-6;
