Leave the retry budget to the old process of an upgrade until its retries no longer count

Cause: RetryLimiter knows its own process alone; the new process began with a whole budget while the old one could still spend its own.

Fix: the new process sends no further setup while the one that it replaces runs, and for one window after. StateFiles tells which process served before.

--- a/core/src/main/java/asterpulley/LoadBalancer.java
+++ b/core/src/main/java/asterpulley/LoadBalancer.java
@@ -461,6 +461,14 @@
         updateFleetSize();
     }
 
+    /**
+     * Reports that another process of this relay, which was started before, still serves. To be
+     * repeated as long as it does.
+     */
+    public void onPredecessorServing() {
+        retryLimiter.leaveBudgetToOtherProcess(frontend.now());
+    }
+
     /** Reports that this process ends soon; tunnels are still placed and answered until then. */
     public void beginShutdown() {
         retrySafety.beginShutdown();
--- a/core/src/main/java/asterpulley/RetryLimiter.java
+++ b/core/src/main/java/asterpulley/RetryLimiter.java
@@ -17,10 +17,22 @@
      */
     Settings settings;
 
+    /** Until then retries of another process of this relay count. */
+    private double usedElsewhereUntil = Double.NEGATIVE_INFINITY;
+
     RetryLimiter(Settings settings) {
         this.settings = settings;
     }
 
+    /**
+     * Another process of this relay may send retries until now. The budget is one for both, and
+     * what that process has used is not known here, so it is left to it as long as such a retry
+     * counts.
+     */
+    void leaveBudgetToOtherProcess(double now) {
+        usedElsewhereUntil = now + settings.retryBudgetWindow + 2 * settings.tick;
+    }
+
     /** Records a tunnel that was accepted now; it raises the budget of the window. */
     void recordTunnel(double now) {
         if (settings.retryBudgetWindow > 0) {
@@ -54,6 +66,9 @@
             return Double.POSITIVE_INFINITY;
         }
         removeExpired(now);
+        if (now < usedElsewhereUntil) {
+            return 0;
+        }
         return Math.floor(
                         settings.retryBudgetMinimum
                                 + settings.retryBudgetRatio * tunnelTimes.size()
--- a/core/src/test/java/asterpulley/RetryLimiterTest.java
+++ b/core/src/test/java/asterpulley/RetryLimiterTest.java
@@ -103,6 +103,45 @@
         }
     }
 
+    /** Guards against two processes of an upgrade that each spend one budget. */
+    @Property(tries = 300)
+    void twoProcessesKeepToOneBudget(
+            @ForAll @Size(max = 400) List<@IntRange(min = 0, max = 99) Integer> steps,
+            @ForAll @IntRange(min = 0, max = 40) int budgetCode,
+            @ForAll @IntRange(min = 0, max = 200) int predecessorEndsAtStep) {
+        Settings settings = settingsWithBudget(budgetCode);
+        RetryLimiter predecessor = new RetryLimiter(settings);
+        RetryLimiter successor = new RetryLimiter(settings);
+        List<Double> tunnelTimes = new ArrayList<>();
+        List<Double> retryTimes = new ArrayList<>();
+        double now = 0;
+        for (int i = 0; i < steps.size(); i++) {
+            now += steps.get(i) / 4 * settings.tick;
+            boolean predecessorServes = i < predecessorEndsAtStep;
+            if (predecessorServes) {
+                successor.leaveBudgetToOtherProcess(now);
+            }
+            RetryLimiter limiter =
+                    predecessorServes && steps.get(i) % 4 < 2 ? predecessor : successor;
+            if (steps.get(i) % 2 == 0) {
+                limiter.recordTunnel(now);
+                tunnelTimes.add(now);
+            } else if (limiter.tryAcquire(now)) {
+                retryTimes.add(now);
+                double windowStart = now - settings.retryBudgetWindow;
+                long retries = retryTimes.stream().filter(time -> time >= windowStart).count();
+                long tunnels = tunnelTimes.stream().filter(time -> time > windowStart).count();
+                assertTrue(
+                        settings.retryBudgetWindow == 0
+                                || retries
+                                        <= settings.retryBudgetMinimum
+                                                + settings.retryBudgetRatio * tunnels
+                                                + 1e-9,
+                        retries + " retries for " + tunnels + " tunnels");
+            }
+        }
+    }
+
     /** Guards against a heap that grows with every tunnel while no retry is asked for. */
     @Test
     void forgetsTunnelsWithoutRetries() {
--- a/relay/src/main/java/asterpulley/net/LoadBalancerFilter.java
+++ b/relay/src/main/java/asterpulley/net/LoadBalancerFilter.java
@@ -114,6 +114,11 @@
         callLoadBalancer(() -> loadBalancer.updateSettings(updated));
     }
 
+    /** The process that this one replaces still serves; repeated as long as it does. */
+    public void predecessorServing() {
+        callLoadBalancer(() -> loadBalancer.onPredecessorServing());
+    }
+
     /** This process ends soon. Tunnels are still placed and answered until then. */
     public void beginShutdown() {
         callLoadBalancer(() -> loadBalancer.beginShutdown());
--- a/relay/src/main/java/asterpulley/serve/OperatorService.java
+++ b/relay/src/main/java/asterpulley/serve/OperatorService.java
@@ -35,6 +35,9 @@
      */
     private static final double CORDON_RETRY_SECONDS = 0.005, CORDON_CHANGE_TIMEOUT_SECONDS = 0.8;
 
+    /** How often a process looks whether the one that it replaces still runs. */
+    private static final double PREDECESSOR_CHECK_INTERVAL_SECONDS = 0.1;
+
     /** How often the learned values are stored; they change slowly. */
     private static final double STORE_LEARNED_INTERVAL_SECONDS = 2;
 
@@ -77,6 +80,7 @@
         if (stateFiles != null) {
             applyStoredCordons();
             checkStoredCordons();
+            stateFiles.otherServingProcess().ifPresent(this::followPredecessor);
             double[] learned = stateFiles.learned();
             if (learned.length > 0) {
                 LOG.info(
@@ -103,6 +107,14 @@
                         drainGraceSeconds / CORDON_CHECKS_PER_DRAIN_GRACE));
     }
 
+    /** The limits of both processes are those of one relay, as long as the predecessor runs. */
+    private void followPredecessor(ProcessHandle predecessor) {
+        if (predecessor.isAlive()) {
+            loadBalancer.predecessorServing();
+            loop.schedule(PREDECESSOR_CHECK_INTERVAL_SECONDS, () -> followPredecessor(predecessor));
+        }
+    }
+
     private void storeLearned() {
         if (!gracefulShutdown.isShuttingDown()) {
             stateFiles.learned(loadBalancer.exportLearnedState());
--- a/relay/src/main/java/asterpulley/serve/StateFiles.java
+++ b/relay/src/main/java/asterpulley/serve/StateFiles.java
@@ -185,15 +185,19 @@
 
     /** Returns true if another process has taken over and is running. */
     boolean isSuperseded() {
+        return otherServingProcess().isPresent();
+    }
+
+    /** Returns the process that recorded last that it serves, if that is another one and runs. */
+    Optional<ProcessHandle> otherServingProcess() {
         try {
             long pid = Long.parseLong(Files.readString(servingFile).trim());
             Instant writtenAt = Files.getLastModifiedTime(servingFile).toInstant();
-            return pid != ProcessHandle.current().pid()
-                    && ProcessHandle.of(pid)
-                            .filter(process -> startedBefore(process, writtenAt))
-                            .isPresent();
+            return pid == ProcessHandle.current().pid()
+                    ? Optional.empty()
+                    : ProcessHandle.of(pid).filter(process -> startedBefore(process, writtenAt));
         } catch (IOException | NumberFormatException e) {
-            return false;
+            return Optional.empty();
         }
     }
 
--- a/relay/src/test/java/asterpulley/serve/UpgradeTest.java
+++ b/relay/src/test/java/asterpulley/serve/UpgradeTest.java
@@ -16,7 +16,9 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BrokenBarrierException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -24,6 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -35,6 +38,7 @@
 @Timeout(120)
 class UpgradeTest extends RelayFixture {
     private int clientPort;
+    private UnaryOperator<String> configEdit = json -> json;
 
     /** A relay process and its operator address. */
     private final class RelayProcess implements AutoCloseable {
@@ -52,7 +56,8 @@
             createConfig(1000, entries.toArray(String[]::new));
             Files.writeString(
                     config,
-                    Files.readString(folder.resolve("config.json"))
+                    configEdit
+                            .apply(Files.readString(folder.resolve("config.json")))
                             .replace(
                                     "127.0.0.1:0\"",
                                     "127.0.0.1:"
@@ -376,6 +381,50 @@
         }
     }
 
+    /** Guards against two processes of an upgrade that each spend the budget of one relay. */
+    @Test
+    void bothProcessesKeepToOneRetryBudget() throws Exception {
+        clientPort = freePort();
+        configEdit =
+                json ->
+                        json.replace(
+                                "\"askEveryMs\":10000",
+                                "\"askEveryMs\":10000,\"budgetFree\":2,\"furtherRatio\":0,\"lookBackMs\":20000");
+        Backend[] full = {fullBackend(), fullBackend(), fullBackend()};
+        Backend open = echoBackend();
+        RelayProcess old = new RelayProcess(full[0], full[1], full[2], open).awaitReady();
+        RelayProcess next = new RelayProcess(full[0], full[1], full[2], open).awaitReady();
+        int clients = 0;
+        for (long end = System.nanoTime() + 4_000_000_000L; System.nanoTime() < end; ) {
+            assertEquals(null, failureOfOpen("a" + ++clients));
+        }
+        Set<String> ids = new HashSet<>();
+        int retries = 0;
+        for (Backend backend : List.of(full[0], full[1], full[2], open)) {
+            for (String request : backend.openRequests) {
+                retries += ids.add(request.split(" ")[1]) ? 0 : 1;
+            }
+        }
+        assertTrue(
+                next.metric("upstream_requests_total") > 0
+                        && old.metric("upstream_requests_total") > 0,
+                "both have sent setups");
+        assertTrue(retries >= 1 && retries <= 2, retries + " retries of " + clients);
+    }
+
+    private Backend fullBackend() throws IOException {
+        Backend backend = new Backend();
+        runInBackground(
+                () -> {
+                    while (true) {
+                        TestConnection connection = backend.awaitTunnel();
+                        connection.send("BUSY\r\n");
+                        connection.close();
+                    }
+                });
+        return backend;
+    }
+
     @Test
     void failedUpgradeKeepsOldProcessServingAndNextUpgradeMovesClients() throws Exception {
         clientPort = freePort();
