Count connections that are just being closed when descriptors run short

Cause: in a shortage the number of sockets in use becomes the limit. What was closed a moment before keeps its descriptor until the next pass over the sockets but no longer counted, so each refusal within a pass took the limit further down.

Fix: TunnelRegistry counts what was closed in this pass and the one before, and the limit includes it.

--- a/relay/src/main/java/asterpulley/net/AdmissionFilter.java
+++ b/relay/src/main/java/asterpulley/net/AdmissionFilter.java
@@ -92,12 +92,14 @@
 
     /** The machine refused a descriptor, for a connection in or out: see {@link #acceptFailed}. */
     public void descriptorsRunShort(Throwable cause) {
+        // Connections that were just closed, to make room perhaps, have their descriptors still.
+        int inUse = registry.sockets + registry.closingSockets(eventLoop.selectCount());
         if (shortageTimer == null) {
             registry.log(
                     "no file descriptor for a new connection ("
                             + cause.getMessage()
                             + "), in use "
-                            + registry.sockets
+                            + inUse
                             + " of "
                             + socketLimit);
         } else {
@@ -110,7 +112,7 @@
                             shortageTimer = null;
                             applySocketLimit(configuredLimit);
                         });
-        applySocketLimit(Math.min(socketLimit, registry.sockets));
+        applySocketLimit(Math.min(socketLimit, inUse));
         idleConnections.makeRoom(socketLimit - reserve / 2);
     }
 
--- a/relay/src/main/java/asterpulley/net/PeerConnection.java
+++ b/relay/src/main/java/asterpulley/net/PeerConnection.java
@@ -334,6 +334,7 @@
             closed = true;
             registry.sockets--;
             registry.lingering -= lingering ? 1 : 0;
+            registry.recordClosed(eventLoop.selectCount());
             connection.terminateSilently();
             if (tunnel != null) {
                 tunnel.connectionClosed();
--- a/relay/src/main/java/asterpulley/net/TunnelRegistry.java
+++ b/relay/src/main/java/asterpulley/net/TunnelRegistry.java
@@ -52,6 +52,11 @@
     /** Open connections, and those of them that only wait for a peer to read its final answer. */
     public int sockets, lingering;
 
+    /** Connections closed in the pass over the sockets of this number, and in the one before. */
+    private int closedInPass, closedInPassBefore;
+
+    private long closingPass;
+
     /** Buffers that wait for slow readers, over all connections, and the heap that they take. */
     public int pendingWrites;
 
@@ -103,6 +108,29 @@
         return pendingWriteBytes > maxPendingWriteBytes;
     }
 
+    /** A connection was closed in this pass over the sockets. */
+    void recordClosed(long pass) {
+        advanceTo(pass);
+        closedInPass++;
+    }
+
+    /**
+     * The number of connections that are closed but may still have their descriptor: it is released
+     * by the next pass over the sockets.
+     */
+    int closingSockets(long pass) {
+        advanceTo(pass);
+        return closedInPass + closedInPassBefore;
+    }
+
+    private void advanceTo(long pass) {
+        if (pass != closingPass) {
+            closedInPassBefore = pass == closingPass + 1 ? closedInPass : 0;
+            closedInPass = 0;
+            closingPass = pass;
+        }
+    }
+
     public void count(String counter) {
         counters.merge(counter, 1L, Long::sum);
     }
