Keep only the time for a first setup free where this relay ends a retry's setups itself

A decline after a possible run kept a whole setup goal of the window free, so that clients whose retry would have been in time were closed with error. Where the retry meets this process again, RetrySafety ends its setups with the window of the first tunnel anyway; what it needs is the time that a tunnel may wait for its first setup (0.4 of the goal) and 0.1 s for the way. Other processes keep a client timeout.

RetryWindowTest, SetupRaceTest, ScenarioTest and RetrySafetyTest (its property: no second effect) pass.

--- a/core/src/main/java/asterpulley/LoadBalancer.java
+++ b/core/src/main/java/asterpulley/LoadBalancer.java
@@ -102,7 +102,7 @@
     /**
      * Part of a tunnel's setup goal that it may wait for probe results or for room in the window.
      */
-    private static final double MAX_WAIT_GOAL_FRACTION = 0.4;
+    static final double MAX_WAIT_GOAL_FRACTION = 0.4;
 
     /** Time constant of the decaying rates of tunnels per second. */
     private static final double RATE_DECAY_SECONDS = 10;
--- a/core/src/main/java/asterpulley/RetrySafety.java
+++ b/core/src/main/java/asterpulley/RetrySafety.java
@@ -100,12 +100,14 @@
                 : OptionalDouble.empty();
     }
 
-    /** Returns how long after the client's retry its last setup may be sent. */
+    /** Returns how much of the window must be left when the client is told to retry. */
     private double secondsToSendRetry(Settings.Profile profile) {
         // Another process does not know when the window ends, and may send setups as long as the
-        // client waits.
+        // client waits. This one ends them with the window, and needs time for the first.
         return RETRY_TRANSIT_SECONDS
-                + (retriesReachOtherProcesses() ? profile.clientTimeout : profile.setupGoal);
+                + (retriesReachOtherProcesses()
+                        ? profile.clientTimeout
+                        : LoadBalancer.MAX_WAIT_GOAL_FRACTION * profile.setupGoal);
     }
 
     private boolean retriesReachOtherProcesses() {
